--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder."""
