--- a/packages/wagtailline-lab/src/wagtailline_lab/__init__.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""Fakes, local mesh, load generator and benchmarks of wagtailline."""
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/network.py
@@ -0,0 +1,202 @@
+"""In-memory transport that loses, delays, duplicates and reorders."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from wagtailline.codec import Message
+from wagtailline.ports import (
+    Address,
+    Channel,
+    ChannelClosed,
+    ChannelHandler,
+    DialFailed,
+    Listener,
+)
+
+
+class LinkQuality(NamedTuple):
+    """Behaviour of the links; delays in seconds, the rest probabilities."""
+
+    min_delay: float = 0.0005
+    max_delay: float = 0.0015
+    loss: float = 0
+    duplication: float = 0
+
+
+class MemoryChannel:
+    """One end of a channel between two addresses."""
+
+    def __init__(
+        self, network: 'MemoryNetwork', local: Address, remote: Address
+    ) -> None:
+        """Belong to the network; ``peer`` is set once both ends exist."""
+        self.local = local
+        self.remote = remote
+        self.peer: MemoryChannel | None = None
+        self.closed = asyncio.Event()
+        self._network = network
+        self._inbox: asyncio.Queue[Message] = asyncio.Queue()
+
+    async def send(self, message: Message) -> None:
+        """Send one message; raise ChannelClosed when the peer is gone."""
+        if self.closed.is_set():
+            raise ChannelClosed
+        self._network.carry(self, message)
+
+    async def receive(self) -> Message:
+        """Return the next message; raise ChannelClosed at the end."""
+        if self.closed.is_set() and self._inbox.empty():
+            raise ChannelClosed
+        arrival = asyncio.ensure_future(self._inbox.get())
+        ending = asyncio.ensure_future(self.closed.wait())
+        try:
+            await asyncio.wait(
+                (arrival, ending), return_when=asyncio.FIRST_COMPLETED
+            )
+            if arrival.done():
+                return arrival.result()
+        finally:
+            arrival.cancel()
+            ending.cancel()
+        raise ChannelClosed
+
+    def close(self) -> None:
+        """End both ends of the channel."""
+        self.closed.set()
+        if self.peer is not None and not self.peer.closed.is_set():
+            self.peer.close()
+
+    def deliver(self, message: Message) -> None:
+        """Put a message into the inbox unless the channel has ended."""
+        if not self.closed.is_set():
+            self._inbox.put_nowait(message)
+
+
+class MemoryNetwork:
+    """Connects memory transports; may be cut between any addresses."""
+
+    def __init__(self, random: Random, quality: LinkQuality) -> None:
+        """Draw delays and losses from the given source of randomness."""
+        self.quality = quality
+        self.messages = 0
+        self.dials = 0
+        self.observe: Callable[[Address, Address, Message], None] | None = None
+        self._random = random
+        self._handlers: dict[Address, ChannelHandler] = {}
+        self._blocked: Callable[[Address, Address], bool] = _never
+        self._channels: list[MemoryChannel] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def transport(self, local: Address) -> 'MemoryTransport':
+        """Return the transport of the process at an address."""
+        return MemoryTransport(self, local)
+
+    def partition(self, blocked: Callable[[Address, Address], bool]) -> None:
+        """Drop what goes between addresses for which this returns true."""
+        self._blocked = blocked
+
+    def heal(self) -> None:
+        """Let everything through again."""
+        self._blocked = _never
+
+    def stop_process(self, address: Address) -> None:
+        """End the listener and all channels of an address."""
+        self._handlers.pop(address, None)
+        for channel in list(self._channels):
+            if channel.local == address:
+                channel.close()
+        self._channels = [
+            channel for channel in self._channels if not channel.closed.is_set()
+        ]
+
+    def listen(self, address: Address, handler: ChannelHandler) -> None:
+        """Accept channels at an address."""
+        self._handlers[address] = handler
+
+    def stop_listening(self, address: Address) -> None:
+        """Accept no more channels; open ones stay open."""
+        self._handlers.pop(address, None)
+
+    def connect(self, local: Address, remote: Address) -> MemoryChannel:
+        """Open a channel; raise DialFailed when nobody listens."""
+        self.dials += 1
+        handler = self._handlers.get(remote)
+        if handler is None or self._blocked(local, remote):
+            raise DialFailed(remote)
+        near = MemoryChannel(self, local, remote)
+        far = MemoryChannel(self, remote, local)
+        near.peer, far.peer = far, near
+        self._channels.extend((near, far))
+        task = asyncio.ensure_future(_accept(handler, far))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near
+
+    def carry(self, sender: MemoryChannel, message: Message) -> None:
+        """Schedule the delivery of a message, or lose it."""
+        self.messages += 1
+        if self.observe is not None:
+            self.observe(sender.local, sender.remote, message)
+        receiver = sender.peer
+        if receiver is None or self._blocked(sender.local, sender.remote):
+            return
+        if self._random.random() < self.quality.loss:
+            return
+        copies = 1 + (self._random.random() < self.quality.duplication)
+        loop = asyncio.get_running_loop()
+        for _ in range(copies):
+            loop.call_later(self._draw_delay(), receiver.deliver, message)
+
+    def _draw_delay(self) -> float:
+        return self._random.uniform(
+            self.quality.min_delay, self.quality.max_delay
+        )
+
+
+class MemoryListener:
+    """A listening address of the memory network."""
+
+    def __init__(self, network: MemoryNetwork, address: Address) -> None:
+        """Belong to the network."""
+        self._network = network
+        self._address = address
+
+    async def close(self) -> None:
+        """Stop accepting; channels that are open stay open."""
+        self._network.stop_listening(self._address)
+
+
+class MemoryTransport:
+    """Transport of one process of the memory network."""
+
+    def __init__(self, network: MemoryNetwork, local: Address) -> None:
+        """Send from the given address."""
+        self._network = network
+        self._local = local
+
+    async def dial(self, address: Address) -> Channel:
+        """Open a channel; raise DialFailed when there is no peer."""
+        await asyncio.sleep(self._network.quality.max_delay)
+        return self._network.connect(self._local, address)
+
+    async def serve(
+        self, address: Address, handler: ChannelHandler
+    ) -> Listener:
+        """Accept channels and run the handler in a task for each."""
+        self._network.listen(address, handler)
+        return MemoryListener(self._network, address)
+
+
+async def _accept(handler: ChannelHandler, channel: MemoryChannel) -> None:
+    try:
+        await handler(channel)
+    except ChannelClosed:
+        return
+    finally:
+        channel.close()
+
+
+def _never(local: Address, remote: Address) -> bool:
+    return False
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/calls.py
@@ -0,0 +1,59 @@
+"""Types of a call between the ingress, the routing and a gate."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Literal, NamedTuple
+
+from result import Result
+
+Headers = tuple[tuple[bytes, bytes], ...]
+Body = AsyncIterator[bytes]
+Executed = Literal['no', 'unknown']
+
+
+class CallRequest(NamedTuple):
+    """The head of a request as its sender decided on it.
+
+    ``version`` is the configuration version of that decision,
+    ``timeout_ms`` the time left, ``depth`` the number of calls above it.
+    """
+
+    version: int
+    endpoint: str
+    route: str
+    client_account: str
+    key_digest: str
+    method: str
+    target: str
+    headers: Headers
+    timeout_ms: int
+    depth: int = 0
+    trace: str = ''
+    idempotency_key: str = ''
+
+
+class Refusal(NamedTuple):
+    """A call that got no answer of an upstream.
+
+    ``executed`` is ``no`` only when no upstream has begun the request.
+    """
+
+    reason: str
+    executed: Executed
+    retry_after_ms: int = 0
+
+
+class Answer(NamedTuple):
+    """Head of an answer, its body, and the load of the gate from 0 to 1."""
+
+    status: int
+    headers: Headers
+    body: Body
+    load: float = 0
+
+
+CallHandler = Callable[[CallRequest, Body], Awaitable[Result[Answer, Refusal]]]
+"""Runs a call. The answer's body raises BodyTruncated when it is cut."""
+
+
+class BodyTruncated(Exception):
+    """The rest of a body will not come."""
