--- a/packages/wagtailline-lab/src/wagtailline_lab/network.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/network.py
@@ -108,7 +108,7 @@
             if channel.local == address:
                 channel.close()
         self._channels = [
-            channel for channel in self._channels if not channel.closed.is_set()
+            kept for kept in self._channels if not kept.closed.is_set()
         ]
 
     def listen(self, address: Address, handler: ChannelHandler) -> None:
