--- a/packages/wagtailline-ctl/src/wagtailline_ctl/__init__.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/__init__.py
@@ -1,1 +1,1 @@
-"""Placeholder."""
+"""The operators' command."""
--- /dev/null
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_set_commands.py
@@ -0,0 +1,90 @@
+"""Commands that work on sets before they are published."""
+
+from pathlib import Path
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err, Ok
+
+from wagtailline.release import Head, build_release
+from wagtailline_ctl.output import describe, render_json
+from wagtailline_ctl.releases import read_release, write_release
+from wagtailline_ctl.sets import FileFault, Objects, load_set
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+
+
+class CheckCommand(Command):
+    """Checks a set as a whole and names every fault."""
+
+    name = 'check'
+    description = 'Check a set of objects before it is published.'
+    arguments = [argument('set', 'JSON file or directory of JSON files')]
+    options = [option('json', None, 'Print the faults as JSON')]
+
+    def handle(self) -> int:
+        """Exit with 0 for a sound set, with 1 otherwise."""
+        match load_set(Path(self.argument('set'))):
+            case Ok(objects):
+                self.line(f'{len(objects)} objects, no faults')
+                return EXIT_OK
+            case Err(faults):
+                _print_faults(self, faults)
+        return EXIT_REFUSED
+
+
+class BuildCommand(Command):
+    """Makes the next version of a set."""
+
+    name = 'build'
+    description = 'Make a release that the platform can publish.'
+    arguments = [
+        argument('set', 'JSON file or directory of JSON files'),
+        argument('directory', 'Directory that holds the published values'),
+    ]
+    options = [option('json', None, 'Print the outcome as JSON')]
+
+    def handle(self) -> int:
+        """Exit with 0 when a version was written, with 1 otherwise."""
+        match load_set(Path(self.argument('set'))):
+            case Ok(objects):
+                return self._build(objects, Path(self.argument('directory')))
+            case Err(faults):
+                _print_faults(self, faults)
+        return EXIT_REFUSED
+
+    def _build(self, objects: Objects, directory: Path) -> int:
+        parent = read_release(directory)
+        if isinstance(parent, Err):
+            self.line_error(describe(parent.err_value))
+            return EXIT_REFUSED
+        published = parent.ok_value
+        match build_release(objects, published.head, published.objects):
+            case Ok(release):
+                write_release(directory, release)
+                self._report(release.head)
+                return EXIT_OK
+            case Err(faults):
+                for fault in faults:
+                    self.line_error(describe(fault))
+        return EXIT_REFUSED
+
+    def _report(self, head: Head) -> None:
+        changed = len(head.delta.changed) if head.delta else 0
+        removed = len(head.delta.removed) if head.delta else 0
+        if self.option('json'):
+            self.line(render_json([head._replace(buckets=(), delta=None)]))
+        else:
+            self.line(
+                f'version {head.version} digest {head.digest.hex()}: '
+                f'{changed} changed, {removed} removed'
+            )
+
+
+def _print_faults(command: Command, faults: tuple[FileFault, ...]) -> None:
+    if command.option('json'):
+        command.line(render_json(faults))
+        return
+    for path, fault in faults:
+        command.line_error(f'{path or "set"}: {describe(fault)}')
--- /dev/null
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/releases.py
@@ -0,0 +1,78 @@
+"""Writes a release into a directory and reads it back."""
+
+import os
+from pathlib import Path
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailline.objects import ObjectId, PublishedObject
+from wagtailline.release import (
+    HEAD_KEY,
+    Head,
+    MalformedContent,
+    Release,
+    ReleaseFailure,
+    bucket_key,
+    decode_bucket,
+    decode_head,
+    encode_head,
+    unpack_object,
+)
+
+
+class Published(NamedTuple):
+    """A head with the objects of its version."""
+
+    head: Head | None
+    objects: dict[ObjectId, PublishedObject]
+
+
+def write_release(directory: Path, release: Release) -> None:
+    """Write the buckets, then replace the head in one step."""
+    for digest, content in release.buckets.items():
+        path = directory / bucket_key(digest)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        if not path.exists():
+            _replace(path, content)
+    _replace(directory / HEAD_KEY, encode_head(release.head))
+
+
+def read_release(directory: Path) -> Result[Published, ReleaseFailure]:
+    """Return the version in a directory; empty when there is no head."""
+    path = directory / HEAD_KEY
+    if not path.exists():
+        return Ok(Published(None, {}))
+    match decode_head(path.read_bytes()):
+        case Ok(head):
+            return _read_objects(directory, head)
+        case Err(failure):
+            return Err(failure)
+    raise AssertionError(path)
+
+
+def _read_objects(
+    directory: Path, head: Head
+) -> Result[Published, ReleaseFailure]:
+    objects: dict[ObjectId, PublishedObject] = {}
+    for digest in head.buckets:
+        path = directory / bucket_key(digest)
+        if not path.exists():
+            return Err(MalformedContent(f'bucket {digest.hex()} is missing'))
+        match decode_bucket(path.read_bytes(), digest):
+            case Ok(members):
+                for packed in members:
+                    unpacked = unpack_object(packed)
+                    if isinstance(unpacked, Err):
+                        return unpacked
+                    objects[packed[0], packed[1]] = unpacked.ok_value
+            case Err(failure):
+                return Err(failure)
+    return Ok(Published(head, objects))
+
+
+def _replace(path: Path, content: bytes) -> None:
+    path.parent.mkdir(parents=True, exist_ok=True)
+    temporary = path.with_name(f'.{path.name}.new')
+    temporary.write_bytes(content)
+    os.replace(temporary, path)
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/deployments.py
@@ -0,0 +1,129 @@
+"""Object sets in the shape of both deployments, and of any size."""
+
+from hashlib import blake2b
+from typing import Any, NamedTuple
+
+
+class Shape(NamedTuple):
+    """Sizes of a deployment."""
+
+    name: str
+    region: str
+    data_centres: tuple[str, ...]
+    services: dict[str, int]
+    slots: int
+    connections: int
+    client_accounts: dict[str, tuple[float, int]]
+
+
+FJORDPENN = Shape(
+    name='fjordpenn',
+    region='oslo',
+    data_centres=('osl1', 'osl2', 'osl3'),
+    services={
+        'status-desk': 3,
+        'commissions': 3,
+        'proof-storage': 3,
+        'archive': 3,
+    },
+    slots=6,
+    connections=120,
+    client_accounts={
+        'royal-court': (120, 60),
+        'wedding-house': (80, 40),
+        'studio-bergen': (60, 30),
+        'studio-tromso': (20, 10),
+        'funeral-home': (10, 9),
+        'stationer': (10, 9),
+        'courier': (8, 6),
+        'walk-in': (5, 5),
+    },
+)
+SHEEREEN = Shape(
+    name='sheereen',
+    region='punjab',
+    data_centres=('lhe1', 'lhe2', 'lyp1', 'mux1'),
+    services={'catalogue': 5, 'lending': 4, 'library': 4, 'records': 4},
+    slots=9,
+    connections=130,
+    client_accounts={
+        'head-office': (200, 100),
+        'ledgers': (120, 60),
+        'lahore-mall': (60, 40),
+        'faisalabad': (40, 20),
+        'multan': (30, 20),
+        'sukkur': (10, 8),
+        'hyderabad': (10, 8),
+        'larkana': (5, 5),
+    },
+)
+SHAPES = {shape.name: shape for shape in (FJORDPENN, SHEEREEN)}
+
+
+def key_of(account: str) -> str:
+    """Return the demonstration key of an account."""
+    return f'demo-key-{account}'
+
+
+def digest_key(key: str) -> str:
+    """Return the published digest of a key."""
+    return blake2b(key.encode(), digest_size=32).hexdigest()
+
+
+def make_set(shape: Shape) -> dict[str, list[dict[str, Any]]]:
+    """Return the object set of a deployment as JSON sections."""
+    return {
+        'data_centres': [
+            {'name': name, 'region': shape.region}
+            for name in shape.data_centres
+        ],
+        'services': [{'name': name} for name in shape.services],
+        'endpoints': _endpoints(shape),
+        'routes': [
+            *(_route(name) for name in shape.services),
+            {
+                'name': 'open-samples',
+                'prefix': '/open',
+                'service': next(iter(shape.services)),
+                'open': True,
+                'limit': 'open-samples',
+            },
+        ],
+        'client_accounts': [
+            {'name': name, 'limit': name} for name in shape.client_accounts
+        ],
+        'keys': [
+            {
+                'name': f'{name}-1',
+                'client_account': name,
+                'digest': digest_key(key_of(name)),
+            }
+            for name in shape.client_accounts
+        ],
+        'limits': [
+            *(
+                {'name': name, 'rate': rate, 'burst': burst}
+                for name, (rate, burst) in shape.client_accounts.items()
+            ),
+            {'name': 'open-samples', 'rate': 20.0, 'burst': 20},
+        ],
+    }
+
+
+def _endpoints(shape: Shape) -> list[dict[str, Any]]:
+    centres = shape.data_centres
+    return [
+        {
+            'name': f'{service}-{centres[index % len(centres)]}-{index}',
+            'service': service,
+            'data_centre': centres[index % len(centres)],
+            'slots': shape.slots,
+            'connections': shape.connections,
+        }
+        for service, count in shape.services.items()
+        for index in range(count)
+    ]
+
+
+def _route(service: str) -> dict[str, Any]:
+    return {'name': service, 'prefix': f'/{service}', 'service': service}
