Add the local mesh, operator port, traces, and set commands with tests

Cause: an operator needs to build, compare and watch versions; tests left tasks on a closed loop, whose collection broke later imports on CPython 3.11.7 (SystemError: AST constructor recursion depth mismatch).

--- /dev/null
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
@@ -0,0 +1,152 @@
+"""Commands that read running daemons; none of them changes one."""
+
+import json
+import time
+from typing import Any
+
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from result import Err, Ok
+
+from wagtailline_ctl.daemon_client import read_daemon
+from wagtailline_ctl.output import describe
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_TIMEOUT = 3
+EXIT_UNREACHABLE = 4
+POLL_SECONDS = 0.25
+
+_DAEMON = argument('daemon', 'Operator address of a daemon, HOST:PORT')
+_JSON = option('json', None, 'Print JSON')
+
+
+class StatusCommand(Command):
+    """Shows every report of one daemon."""
+
+    name = 'status'
+    description = 'Show what is in force at a daemon, and its state.'
+    arguments = [_DAEMON]
+    options = [_JSON]
+
+    def handle(self) -> int:
+        """Exit with 0, or with 4 when the daemon does not answer."""
+        return _show(self, '/v1/status', {})
+
+
+class MembersCommand(Command):
+    """Lists which vm holds which endpoint."""
+
+    name = 'members'
+    description = 'List the members that a daemon knows.'
+    arguments = [_DAEMON]
+    options = [_JSON]
+
+    def handle(self) -> int:
+        """Exit with 0, or with 4 when the daemon does not answer."""
+        return _show(self, '/v1/members', {})
+
+
+class ExplainCommand(Command):
+    """Explains what would happen to a request."""
+
+    name = 'explain'
+    description = 'Explain route, account, limit and candidates of a request.'
+    arguments = [_DAEMON, argument('path', 'Path of the request')]
+    options = [
+        option('client-account', 'a', 'Account that sends it', flag=False),
+        _JSON,
+    ]
+
+    def handle(self) -> int:
+        """Exit with 0, or with 4 when the daemon does not answer."""
+        query = {
+            'path': self.argument('path'),
+            'client_account': self.option('client-account') or '',
+        }
+        return _show(self, '/v1/explain', query)
+
+
+class WaitCommand(Command):
+    """Waits until a version is in force everywhere."""
+
+    name = 'wait'
+    description = 'Wait until a version is in force at every daemon.'
+    arguments = [_DAEMON, argument('version', 'Version to wait for')]
+    options = [
+        option('timeout', 't', 'Seconds to wait', flag=False, default='30'),
+    ]
+
+    def handle(self) -> int:
+        """Exit with 0 when it is in force, with 3 at the timeout."""
+        wanted = int(self.argument('version'))
+        deadline = time.monotonic() + float(self.option('timeout'))
+        progress = self.progress_indicator()
+        progress.start(f'waiting for version {wanted}')
+        while time.monotonic() < deadline:
+            state = _read_in_force(self.argument('daemon'))
+            if state.get('lowest_version', 0) >= wanted:
+                progress.finish(f'version {wanted} is in force everywhere')
+                return EXIT_OK
+            progress.set_message(_progress(state, wanted))
+            progress.advance()
+            time.sleep(POLL_SECONDS)
+        progress.finish(f'version {wanted} is not in force everywhere')
+        return EXIT_TIMEOUT
+
+
+def _show(command: Command, path: str, query: dict[str, str]) -> int:
+    match read_daemon(command.argument('daemon'), path, query):
+        case Ok(answer):
+            _print(command, answer)
+            return EXIT_OK
+        case Err(failure):
+            command.line_error(describe(failure))
+    return EXIT_UNREACHABLE
+
+
+def _print(command: Command, answer: Any) -> None:
+    if command.option('json'):
+        command.line(json.dumps(answer, indent=2))
+        return
+    for line in render_lines(answer):
+        command.line(line)
+
+
+def render_lines(answer: Any, indent: str = '') -> list[str]:
+    """Return nested JSON as indented lines of ``name: value``."""
+    if isinstance(answer, dict):
+        lines: list[str] = []
+        for name, field in answer.items():
+            if isinstance(field, dict | list) and field:
+                lines.append(f'{indent}{name}:')
+                lines.extend(render_lines(field, f'{indent}  '))
+            else:
+                lines.append(f'{indent}{name}: {field}')
+        return lines
+    if isinstance(answer, list):
+        return [f'{indent}- {_render_inline(one)}' for one in answer]
+    return [f'{indent}{answer}']
+
+
+def _render_inline(record: Any) -> str:
+    if isinstance(record, dict):
+        return ', '.join(f'{name} {one}' for name, one in record.items())
+    return str(record)
+
+
+def _read_in_force(daemon: str) -> dict[str, Any]:
+    match read_daemon(daemon, '/v1/status', {}):
+        case Ok({'in_force': dict(state)}):
+            return state
+        case _:
+            return {}
+
+
+def _progress(state: dict[str, Any], wanted: int) -> str:
+    laggards = ', '.join(str(one) for one in state.get('laggards', ()))
+    return (
+        f'waiting for version {wanted}: lowest in force '
+        f'{state.get("lowest_version", "unknown")} of '
+        f'{state.get("members", "unknown")} daemons; held up by {laggards}'
+    )
--- a/packages/wagtailline-ctl/src/wagtailline_ctl/_set_commands.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_set_commands.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from wagtailline.release import Head, build_release
+from wagtailline_ctl.differences import compare_sets, find_risks
 from wagtailline_ctl.output import describe, render_json
 from wagtailline_ctl.releases import read_release, write_release
 from wagtailline_ctl.sets import FileFault, Objects, load_set
@@ -82,6 +83,41 @@
             )
 
 
+class DiffCommand(Command):
+    """Shows what differs between two sets and what that puts at risk."""
+
+    name = 'diff'
+    description = 'Show the differences between two sets and their risks.'
+    arguments = [
+        argument('old', 'JSON file or directory of JSON files'),
+        argument('new', 'JSON file or directory of JSON files'),
+    ]
+    options = [option('json', None, 'Print the differences as JSON')]
+
+    def handle(self) -> int:
+        """Exit with 0 for two sound sets, with 1 otherwise."""
+        old = load_set(Path(self.argument('old')))
+        new = load_set(Path(self.argument('new')))
+        for loaded in (old, new):
+            if isinstance(loaded, Err):
+                _print_faults(self, loaded.err_value)
+                return EXIT_REFUSED
+        self._print(old.unwrap(), new.unwrap())
+        return EXIT_OK
+
+    def _print(self, old: Objects, new: Objects) -> None:
+        differences = compare_sets(old, new)
+        risks = find_risks(old, new)
+        if self.option('json'):
+            self.line(render_json((*differences, *risks)))
+            return
+        for change, kind, name, fields in differences:
+            detail = f': {", ".join(fields)}' if fields else ''
+            self.line(f'{change} {kind}/{name}{detail}')
+        for subject, consequence in risks:
+            self.line(f'risk {subject}: {consequence}')
+
+
 def _print_faults(command: Command, faults: tuple[FileFault, ...]) -> None:
     if command.option('json'):
         command.line(render_json(faults))
--- a/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
@@ -4,14 +4,34 @@
 
 from cleo.application import Application
 
-from wagtailline_ctl._set_commands import BuildCommand, CheckCommand
+from wagtailline_ctl._daemon_commands import (
+    ExplainCommand,
+    MembersCommand,
+    StatusCommand,
+    WaitCommand,
+)
+from wagtailline_ctl._set_commands import (
+    BuildCommand,
+    CheckCommand,
+    DiffCommand,
+)
+
+_COMMANDS = (
+    BuildCommand,
+    CheckCommand,
+    DiffCommand,
+    ExplainCommand,
+    MembersCommand,
+    StatusCommand,
+    WaitCommand,
+)
 
 
 def build_application() -> Application:
     """Return the command line with all commands."""
     application = Application('wagtailctl', '0.1.0')
-    application.add(CheckCommand())
-    application.add(BuildCommand())
+    for command in _COMMANDS:
+        application.add(command())
     return application
 
 
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
@@ -0,0 +1,272 @@
+"""Runs a local mesh: platform and upstream fakes, one daemon an endpoint.
+
+``python -m wagtailline_lab.mesh [DEPLOYMENT ...]`` runs until Ctrl-C.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from wagtailline.objects import parse_objects
+from wagtailline.release import build_release
+from wagtailline_ctl.releases import read_release, write_release
+from wagtailline_lab.deployments import SHAPES, Shape, key_of, make_set
+from wagtailline_lab.platform import Platform
+from wagtailline_lab.upstream import Upstream
+
+HOST = '127.0.0.1'
+_PORTS_PER_DAEMON = 4
+_FIRST_PORT = 21_000
+_PORTS_PER_DEPLOYMENT = 200
+_READY_SECONDS = 30.0
+_POLL_SECONDS = 0.1
+_STOP_SECONDS = 10.0
+
+
+class Ports(NamedTuple):
+    """Ports of one daemon and its upstream."""
+
+    http: int
+    peer: int
+    operator: int
+    upstream: int
+
+
+class MeshMember(NamedTuple):
+    """One endpoint with its daemon process and upstream fake."""
+
+    endpoint: str
+    ports: Ports
+    upstream: Upstream
+    process: asyncio.subprocess.Process
+
+
+class Mesh:
+    """A deployment on loopback addresses."""
+
+    def __init__(
+        self, shape: Shape, directory: Path, first_port: int = _FIRST_PORT
+    ) -> None:
+        """Keep published values, settings and logs below the directory."""
+        self.shape = shape
+        self.values = directory / 'values'
+        self.platform = Platform(self.values)
+        self.members: list[MeshMember] = []
+        self.set = make_set(shape)
+        self._directory = directory
+        self._first_port = first_port
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform fake."""
+        return f'http://{HOST}:{self._first_port}'
+
+    async def start(self) -> None:
+        """Publish the set and start every process."""
+        self.publish()
+        self._publish_vms()
+        await self.platform.start(HOST, self._first_port)
+        for index, endpoint in enumerate(self.set['endpoints']):
+            self.members.append(await self._start_member(index, endpoint))
+
+    async def stop(self) -> None:
+        """Stop the daemons as planned, then the fakes."""
+        for member in self.members:
+            if member.process.returncode is None:
+                member.process.send_signal(signal.SIGTERM)
+        await asyncio.gather(
+            *(_await_exit(one.process) for one in self.members)
+        )
+        for member in self.members:
+            await member.upstream.stop()
+        await self.platform.stop()
+
+    def publish(self) -> int:
+        """Publish the current set as the next version and return it."""
+        objects = parse_objects(self.set).unwrap()
+        parent = read_release(self.values).unwrap()
+        release = build_release(objects, parent.head, parent.objects).unwrap()
+        write_release(self.values, release)
+        return release.head.version
+
+    async def wait_ready(self) -> None:
+        """Return once every daemon serves; raise TimeoutError otherwise."""
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(_READY_SECONDS):
+                for member in self.members:
+                    # Another process can set no event of this one.
+                    while not await _is_ready(  # noqa: ASYNC110
+                        session, member.ports
+                    ):
+                        await asyncio.sleep(_POLL_SECONDS)
+
+    def ports(self, index: int) -> Ports:
+        """Return the ports of the daemon with this index."""
+        first = self._first_port + 1 + index * _PORTS_PER_DAEMON
+        return Ports(first, first + 1, first + 2, first + 3)
+
+    async def start_daemon(self, index: int) -> asyncio.subprocess.Process:
+        """Start the daemon of an endpoint from its settings file."""
+        endpoint = self.set['endpoints'][index]
+        path = self._directory / f'{endpoint["name"]}.json'
+        path.write_text(json.dumps(self._settings(index), indent=2))
+        log = (self._directory / f'{endpoint["name"]}.log').open('ab')
+        with log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'wagtailline_daemon.main',
+                str(path),
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
+
+    async def _start_member(
+        self, index: int, endpoint: dict[str, Any]
+    ) -> MeshMember:
+        ports = self.ports(index)
+        upstream = Upstream(endpoint['name'], endpoint['slots'])
+        await upstream.start(HOST, ports.upstream)
+        return MeshMember(
+            endpoint['name'], ports, upstream, await self.start_daemon(index)
+        )
+
+    def _settings(self, index: int) -> dict[str, Any]:
+        endpoint = self.set['endpoints'][index]
+        ports = self.ports(index)
+        return {
+            'vm': f'vm-{endpoint["name"]}',
+            'endpoint': endpoint['name'],
+            'data_centre': endpoint['data_centre'],
+            'host': HOST,
+            'http_port': ports.http,
+            'peer_port': ports.peer,
+            'operator_port': ports.operator,
+            'upstream_port': ports.upstream,
+            'source_url': self.platform_url,
+            'trace_exporter': 'file',
+            'trace_target': str(self._directory / 'spans.jsonl'),
+        }
+
+    def _publish_vms(self) -> None:
+        listed: dict[str, list[dict[str, Any]]] = {}
+        for index, endpoint in enumerate(self.set['endpoints']):
+            listed.setdefault(endpoint['data_centre'], []).append(
+                {
+                    'vm': f'vm-{endpoint["name"]}',
+                    'endpoint': endpoint['name'],
+                    'data_centre': endpoint['data_centre'],
+                    'host': HOST,
+                    'port': self.ports(index).peer,
+                    'incarnation': 0,
+                    'leaving': False,
+                }
+            )
+        for data_centre, vms in listed.items():
+            path = self.values / 'vms' / data_centre
+            path.parent.mkdir(parents=True, exist_ok=True)
+            path.write_text(json.dumps(vms))
+
+
+async def run_meshes(shapes: list[Shape]) -> None:
+    """Run meshes until SIGINT or SIGTERM."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    with tempfile.TemporaryDirectory(prefix='wagtailline-') as name:
+        meshes = [
+            Mesh(
+                shape,
+                _make_directory(Path(name) / shape.name),
+                _FIRST_PORT + index * _PORTS_PER_DEPLOYMENT,
+            )
+            for index, shape in enumerate(shapes)
+        ]
+        try:
+            for mesh in meshes:
+                print(f'starting {mesh.shape.name}', flush=True)
+                await mesh.start()
+            for mesh in meshes:
+                await _announce(mesh)
+            await stopped.wait()
+        finally:
+            print('stopping', flush=True)
+            for mesh in meshes:
+                await mesh.stop()
+
+
+async def _announce(mesh: Mesh) -> None:
+    await mesh.wait_ready()
+    shape, first = mesh.shape, mesh.members[0].ports
+    service = next(iter(shape.services))
+    account = next(iter(shape.client_accounts))
+    key = key_of(account)
+    values = mesh.values
+    set_path = values.parent / 'set.json'
+    set_path.write_text(json.dumps(mesh.set, indent=2))
+    print(
+        f"""
+{shape.name}: {len(mesh.members)} daemons in {len(shape.data_centres)} \
+data centres are ready.
+  a routed request:
+    curl -i -H 'Authorization: Bearer {key}' \
+http://{HOST}:{first.http}/{service}/1
+  a refused one (no key):
+    curl -i http://{HOST}:{first.http}/{service}/1
+  what is in force:
+    .venv/bin/wagtailctl status {HOST}:{first.operator}
+  withdraw the key: remove its entry from
+    {set_path}
+  then publish:
+    .venv/bin/wagtailctl build {set_path} {values}
+  logs and spans: {values.parent}
+Ctrl-C ends everything.""",
+        flush=True,
+    )
+
+
+def _make_directory(path: Path) -> Path:
+    path.mkdir(parents=True)
+    return path
+
+
+async def _is_ready(session: aiohttp.ClientSession, ports: Ports) -> bool:
+    url = f'http://{HOST}:{ports.operator}/v1/status'
+    with contextlib.suppress(aiohttp.ClientError):
+        async with session.get(url) as answer:
+            status = await answer.json()
+            return bool(status.get('ready'))
+    return False
+
+
+async def _await_exit(process: asyncio.subprocess.Process) -> None:
+    try:
+        async with asyncio.timeout(_STOP_SECONDS):
+            await process.wait()
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+
+
+def main() -> None:
+    """Parse the names of deployments and run them."""
+    parser = argparse.ArgumentParser(prog='mesh', description=__doc__)
+    parser.add_argument(
+        'deployments', nargs='*', choices=[*SHAPES, []], default=[]
+    )
+    names = parser.parse_args().deployments or list(SHAPES)
+    asyncio.run(run_meshes([SHAPES[name] for name in names]))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/wagtailline-lab/src/wagtailline_lab/virtual.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/virtual.py
@@ -1,5 +1,6 @@
 """Runs coroutines on virtual time, where sleeping costs nothing."""
 
+import asyncio
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -9,12 +10,12 @@
 
 
 def run_virtual(main: Coroutine[Any, Any, _Returned]) -> _Returned:
-    """Run a coroutine to its end on a new loop with virtual time."""
-    loop = new_virtual_loop()
-    try:
-        return loop.run_until_complete(main)
-    finally:
-        loop.close()
+    """Run a coroutine to its end on a new loop with virtual time.
+
+    Tasks that are left are cancelled, and their clean-up is awaited.
+    """
+    with asyncio.Runner(loop_factory=new_virtual_loop) as runner:
+        return runner.run(main)
 
 
 def new_virtual_loop() -> looptime.LoopTimeEventLoop:
