--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
@@ -0,0 +1,311 @@
+"""HTTP ingress: turns requests of callers into calls."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, MutableMapping
+from random import Random
+from typing import Any, Protocol
+
+from result import Err, Ok, Result
+
+from wagtailline.calls import (
+    Answer,
+    Body,
+    BodyTruncated,
+    CallHandler,
+    CallRequest,
+    Refusal,
+    WholeBody,
+)
+from wagtailline.objects import Route
+from wagtailline.routing import RouteIndex
+from wagtailline.snapshot import Snapshot, SnapshotStore
+from wagtailline_daemon._ingress_headers import (
+    RequestHeaders,
+    digest_key,
+    pass_answer_headers,
+    read_headers,
+)
+from wagtailline_daemon._ingress_protocol import IngressProtocol
+from wagtailline_daemon._ingress_refusals import (
+    problem_body,
+    problem_headers,
+    problem_status,
+)
+from wagtailline_daemon._ingress_target import match_target
+
+__all__ = ('Allowance', 'AllowanceRefusal', 'Ingress', 'IngressProtocol')
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+_MILLISECONDS = 1000
+_BAD_REQUEST = 400
+_TRUNCATED_BY_CALLER = 'body_truncated'
+
+
+class AllowanceRefusal(Protocol):
+    """Why a limit gives nothing."""
+
+    @property
+    def reason(self) -> str:
+        """Return a word for the cause."""
+
+    @property
+    def retry_after_ms(self) -> int:
+        """Return when a token may be there, in milliseconds."""
+
+
+class Allowance(Protocol):
+    """Gives the right to run one request."""
+
+    async def acquire(
+        self, limit_name: str, timeout_seconds: float
+    ) -> Result[None, AllowanceRefusal]:
+        """Take one request from a limit."""
+
+
+class _Admitted:
+    """A request that found its route and its account."""
+
+    def __init__(self, request: CallRequest, limit: str, body: Body) -> None:
+        self.request = request
+        self.limit = limit
+        self.body = body
+
+
+class Ingress:
+    """ASGI callable; run it with IngressProtocol."""
+
+    def __init__(
+        self,
+        store: SnapshotStore,
+        allowance: Allowance,
+        router: CallHandler,
+        random: Random,
+    ) -> None:
+        """Send admitted requests to the router."""
+        self._store = store
+        self._allowance = allowance
+        self._router = router
+        self._random = random
+        self._index: RouteIndex | None = None
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answer one request; return early when its caller has left."""
+        if scope['type'] != 'http':
+            return
+        try:
+            await self._serve(scope, receive, send)
+        except asyncio.CancelledError:
+            # uvicorn would log an error for each caller that leaves.
+            return
+
+    async def _serve(self, scope: Scope, receive: Receive, send: Send) -> None:
+        match self._admit(scope, receive):
+            case Ok(admitted):
+                outcome = await self._run(admitted)
+            case Err((refusal, status)):
+                return await self._refuse(send, refusal, status)
+        match outcome:
+            case Ok(answer):
+                await _send_answer(send, answer, admitted.request.timeout_ms)
+            case Err(refusal):
+                await self._refuse(send, refusal, problem_status(refusal))
+
+    def _admit(
+        self, scope: Scope, receive: Receive
+    ) -> Result[_Admitted, tuple[Refusal, int]]:
+        problem = _check_scope(scope)
+        if problem:
+            return _malformed(problem)
+        match read_headers(scope['headers']):
+            case Ok(headers):
+                return self._find_route(scope, headers, receive)
+            case Err(fault):
+                return _malformed(fault.reason)
+
+    def _find_route(
+        self, scope: Scope, headers: RequestHeaders, receive: Receive
+    ) -> Result[_Admitted, tuple[Refusal, int]]:
+        index = self._current_index()
+        if index is None:
+            return _refused('no_snapshot')
+        path = scope['raw_path'].decode('latin-1')
+        matched = match_target(index, path)
+        if isinstance(matched, Err):
+            return _malformed(matched.err_value.reason)
+        route = matched.ok_value
+        if route is None:
+            return _refused('route_missing')
+        target = _target(path, scope)
+        if headers.key and headers.key.decode('latin-1') in target:
+            return _malformed('key_in_target')
+        body = _read_body(receive) if headers.has_body else WholeBody()
+        return _authorize(
+            index.snapshot, route, headers, (scope['method'], target, body)
+        )
+
+    def _current_index(self) -> RouteIndex | None:
+        snapshot = self._store.current
+        if snapshot is None:
+            return None
+        if self._index is None or self._index.snapshot is not snapshot:
+            self._index = RouteIndex(snapshot)
+        return self._index
+
+    async def _run(self, admitted: _Admitted) -> Result[Answer, Refusal]:
+        request = admitted.request
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        granted = await self._allowance.acquire(
+            admitted.limit, request.timeout_ms / _MILLISECONDS
+        )
+        if isinstance(granted, Err):
+            retry_after_ms = granted.err_value.retry_after_ms
+            return Err(Refusal('allowance_exhausted', 'no', retry_after_ms))
+        used_ms = int((loop.time() - started) * _MILLISECONDS)
+        if used_ms:
+            request = request._replace(timeout_ms=request.timeout_ms - used_ms)
+        if request.timeout_ms <= 0:
+            return Err(Refusal('deadline', 'no'))
+        try:
+            return await self._router(request, admitted.body)
+        except BodyTruncated:
+            return Err(Refusal(_TRUNCATED_BY_CALLER, 'unknown'))
+
+    async def _refuse(self, send: Send, refusal: Refusal, status: int) -> None:
+        body = problem_body(refusal.reason, status, refusal.executed)
+        headers = problem_headers(
+            body, status, refusal.retry_after_ms, self._random
+        )
+        await _start(send, status, headers)
+        await _finish(send, body)
+
+
+def _check_scope(scope: Scope) -> str:
+    if scope['http_version'] != '1.1':
+        # HTTP/1.0 has no chunked answers, so a cut one would look whole.
+        return 'http_version'
+    if scope['method'] == 'CONNECT':
+        return 'method_unknown'
+    return ''
+
+
+def _authorize(
+    snapshot: Snapshot,
+    route: Route,
+    headers: RequestHeaders,
+    parts: tuple[str, str, Body],
+) -> Result[_Admitted, tuple[Refusal, int]]:
+    account = ''
+    digest = ''
+    limit = route.limit or ''
+    if not route.open:
+        if not headers.key:
+            return _refused('key_missing')
+        digest = digest_key(headers.key)
+        found = snapshot.account_of_key(digest)
+        if found is None:
+            return _refused('key_unknown')
+        account, limit = found.name, found.limit
+        if route.client_accounts and account not in route.client_accounts:
+            return _refused('account_not_admitted')
+    method, target, body = parts
+    request = CallRequest(
+        version=snapshot.version,
+        endpoint='',
+        route=route.name,
+        client_account=account,
+        key_digest=digest,
+        method=method,
+        target=target,
+        headers=headers.passed,
+        timeout_ms=min(route.timeout_ms, headers.timeout_ms),
+        depth=headers.depth,
+        trace=headers.trace,
+        idempotency_key=headers.idempotency_key,
+    )
+    return Ok(_Admitted(request, limit, body))
+
+
+def _refused(reason: str) -> Err[tuple[Refusal, int]]:
+    refusal = Refusal(reason, 'no')
+    return Err((refusal, problem_status(refusal)))
+
+
+def _malformed(reason: str) -> Err[tuple[Refusal, int]]:
+    refusal = Refusal(reason, 'no')
+    status = problem_status(refusal)
+    return Err((refusal, _BAD_REQUEST if status == 503 else status))
+
+
+def _target(path: str, scope: Scope) -> str:
+    query: bytes = scope['query_string']
+    return f'{path}?{query.decode("latin-1")}' if query else path
+
+
+async def _read_body(receive: Receive) -> Body:
+    more = True
+    while more:
+        message = await receive()
+        if message['type'] != 'http.request':
+            raise BodyTruncated
+        more = message.get('more_body', False)
+        if message['body']:
+            yield message['body']
+
+
+async def _send_answer(send: Send, answer: Answer, stall_ms: int) -> None:
+    """Send an answer; one that was cut is left open.
+
+    uvicorn then closes the connection, so that the caller sees the cut.
+    """
+    await _start(send, answer.status, pass_answer_headers(answer.headers))
+    if isinstance(answer.body, WholeBody):
+        return await _finish(send, answer.body.content)
+    try:
+        async for content in answer.body:
+            async with asyncio.timeout(stall_ms / _MILLISECONDS):
+                await send(
+                    {
+                        'type': 'http.response.body',
+                        'body': content,
+                        'more_body': True,
+                    }
+                )
+    except (BodyTruncated, TimeoutError):
+        return None
+    finally:
+        await _close(answer.body)
+    return await _finish(send, b'')
+
+
+async def _start(
+    send: Send, status: int, headers: 'list[Any] | tuple[Any, ...]'
+) -> None:
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': status,
+            'headers': headers,
+        }
+    )
+
+
+async def _finish(send: Send, content: bytes) -> None:
+    await send(
+        {
+            'type': 'http.response.body',
+            'body': content,
+            'more_body': False,
+        }
+    )
+
+
+async def _close(body: Body) -> None:
+    close = getattr(body, 'aclose', None)
+    if close is not None:
+        await close()
