--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_headers.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_headers.py
@@ -81,6 +81,8 @@
             if name in singles:
                 return Err(MalformedHeaders('header_repeated'))
             singles[name] = field
+        if not _is_text(field):
+            return Err(MalformedHeaders('header_not_utf8'))
         if name == _CONNECTION:
             listed.update(_split_list(field))
         elif _is_passed(name):
@@ -125,6 +127,17 @@
     return name not in _HOP_BY_HOP and not name.startswith(RESERVED_PREFIX)
 
 
+def _is_text(field: bytes) -> bool:
+    # aiohttp writes headers as UTF-8 and would alter other bytes.
+    if field.isascii():
+        return True
+    try:
+        field.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
 def _split_list(field: bytes) -> list[bytes]:
     return [token.strip().lower() for token in field.split(b',')]
 
