--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_protocol.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_protocol.py
@@ -18,6 +18,7 @@
 from wagtailline_daemon._ingress_refusals import problem_body
 
 MAX_HEAD_BYTES = 64 * 1024
+_FRAMING = frozenset((b'content-length', b'transfer-encoding'))
 _BAD_REQUEST = 400
 _HEAD_TOO_LARGE = 431
 _HEAD = (
@@ -97,6 +98,9 @@
         if not self.url.startswith((b'/', b'*')):
             # The parser wraps this into a HttpParserError.
             raise ValueError('target is not in origin form')
+        if self.parser.should_upgrade() and self._has_body():
+            # The parser takes the body for bytes of the other protocol.
+            raise ValueError('upgrade request with a body')
         super().on_headers_complete()
         if self.parser.should_upgrade():
             self.cycle.keep_alive = False
@@ -106,6 +110,9 @@
         self._unparsed_bytes = 0
         super().on_body(body)
 
+    def _has_body(self) -> bool:
+        return any(name in _FRAMING for name, _ in self.headers)
+
     def _note(self, parsed: bytes) -> None:
         self._head_bytes += len(parsed)
         self._unparsed_bytes = 0
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any, Protocol
 
+import uvicorn
 from result import Err, Ok, Result
 
 from wagtailline.calls import (
@@ -33,17 +34,49 @@
 )
 from wagtailline_daemon._ingress_target import match_target
 
-__all__ = ('Allowance', 'AllowanceRefusal', 'Ingress', 'IngressProtocol')
+__all__ = (
+    'Allowance',
+    'AllowanceRefusal',
+    'Ingress',
+    'IngressProtocol',
+    'ingress_config',
+)
 
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
 Send = Callable[[Message], Awaitable[None]]
+# A new connection costs a caller about 1 ms, so idle ones are kept.
+KEEP_ALIVE_SECONDS = 30
 _MILLISECONDS = 1000
 _BAD_REQUEST = 400
 _TRUNCATED_BY_CALLER = 'body_truncated'
 
 
+def ingress_config(app: Any, host: str, port: int) -> uvicorn.Config:
+    """Return the configuration of the server that runs the ingress.
+
+    Access lines are off because a target may hold what a log must not.
+    """
+    return uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop='uvloop',
+        http=IngressProtocol,
+        ws='none',
+        lifespan='off',
+        interface='asgi3',
+        access_log=False,
+        log_config=None,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        backlog=1024,
+    )
+
+
 class AllowanceRefusal(Protocol):
     """Why a limit gives nothing."""
 
--- /dev/null
+++ b/packages/wagtailline-daemon/tests/test_ingress.py
@@ -0,0 +1,343 @@
+"""Sends raw bytes to the ingress behind a real HTTP server on loopback."""
+
+import asyncio
+import contextlib
+import json
+import logging
+from random import Random
+from typing import NamedTuple
+
+import pytest
+import uvicorn
+from result import Err, Ok
+
+from wagtailline.calls import Answer, BodyTruncated, Refusal, WholeBody
+from wagtailline.objects import (
+    ClientAccount,
+    DataCentre,
+    Endpoint,
+    Key,
+    Limit,
+    Route,
+    Service,
+    object_id,
+)
+from wagtailline.snapshot import Snapshot, SnapshotStore
+from wagtailline_daemon._ingress_headers import digest_key
+from wagtailline_daemon.ingress import Ingress, IngressProtocol, ingress_config
+
+_KEY = b'k3y-of-studio-0123456789'
+_AUTH = b'Authorization: Bearer ' + _KEY + b'\r\n'
+_HOST = b'Host: mesh\r\n'
+_GET = b'GET /proofs/1 HTTP/1.1\r\n' + _HOST + _AUTH
+_POST = b'POST /proofs HTTP/1.1\r\n' + _HOST + _AUTH
+_CHUNKED = b'Transfer-Encoding: chunked\r\n'
+
+
+class Exhausted(NamedTuple):
+    reason: str = 'spent'
+    retry_after_ms: int = 1500
+
+
+class Upstream:
+    """Router stand-in; records calls and answers as the target says."""
+
+    def __init__(self):
+        self.calls = []
+        self.cancelled = asyncio.Event()
+        self.granted = True
+
+    async def acquire(self, limit_name, timeout_seconds):
+        return Ok(None) if self.granted else Err(Exhausted())
+
+    async def __call__(self, request, body):
+        content = b''.join([piece async for piece in body])
+        self.calls.append((request, content))
+        if 'wait' in request.target:
+            try:
+                await asyncio.sleep(60)
+            finally:
+                self.cancelled.set()
+        if 'cut' in request.target:
+            return Ok(Answer(200, (), _cut_body()))
+        if 'refuse' in request.target:
+            return Err(Refusal('overload', 'no', 3000))
+        if 'lost' in request.target:
+            return Err(Refusal('upstream_reset', 'unknown'))
+        echo = request.target.encode() + b'|' + content
+        headers = (
+            (b'Content-Length', b'%d' % len(echo)),
+            (b'Connection', b'x-hop'),
+            (b'X-Hop', b'1'),
+        )
+        return Ok(Answer(200, headers, WholeBody(echo)))
+
+
+async def _cut_body():
+    yield b'part'
+    raise BodyTruncated
+
+
+def _store():
+    objects = (
+        DataCentre('dc', 'r'),
+        Service('s'),
+        Endpoint('s-0', 's', 'dc', 6, 120),
+        Limit('l', 5.0, 5),
+        ClientAccount('studio', 'l'),
+        ClientAccount('other', 'l'),
+        Key('k', 'studio', digest_key(_KEY)),
+        Route('proofs', '/proofs', 's'),
+        Route('others', '/others', 's', client_accounts=('other',)),
+        Route('public', '/public', 's', open=True, limit='l'),
+    )
+    store = SnapshotStore()
+    store.install(Snapshot(7, b'', {object_id(one): one for one in objects}))
+    return store
+
+
+@contextlib.asynccontextmanager
+async def _serve(upstream, store=None):
+    app = Ingress(store or _store(), upstream, upstream, Random(1))
+    config = ingress_config(app, '127.0.0.1', 0)
+    server = uvicorn.Server(config)
+    server.config.load()
+    server.lifespan = config.lifespan_class(config)
+    await server.startup()
+    try:
+        yield server.servers[0].sockets[0].getsockname()[1]
+    finally:
+        await server.shutdown()
+
+
+async def _exchange(port, *parts):
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    with contextlib.suppress(ConnectionError):
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.02)
+    answer = b''
+    with contextlib.suppress(ConnectionError, TimeoutError):
+        async with asyncio.timeout(0.3):
+            while piece := await reader.read(65536):
+                answer += piece
+    writer.close()
+    return answer
+
+
+def _ask(*parts, upstream_setup=lambda upstream: None):
+    async def scenario():
+        upstream = Upstream()
+        upstream_setup(upstream)
+        async with _serve(upstream) as port:
+            return await _exchange(port, *parts), upstream
+
+    return asyncio.run(scenario())
+
+
+def _chunked(tail):
+    return (_POST + _CHUNKED + b'\r\n3\r\nabc\r\n' + tail,)
+
+
+@pytest.mark.parametrize(
+    'parts',
+    [
+        (_POST + b'Content-Length: 3\r\n' + _CHUNKED + b'\r\n0\r\n\r\n',),
+        (_POST + _CHUNKED + b'Content-Length: 3\r\n\r\n0\r\n\r\n',),
+        (_POST + b'Content-Length: 3\r\n' * 2 + b'\r\nabc',),
+        (_POST + b'Content-Length: 3, 3\r\n\r\nabc',),
+        (_POST + b'Content-Length: +3\r\n\r\nabc',),
+        (_POST + b'Content-Length : 3\r\n\r\nabc',),
+        (_POST + b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',),
+        (_POST + b'Transfer-Encoding: identity\r\n' + _CHUNKED + b'\r\n',),
+        (_POST + _CHUNKED * 2 + b'\r\n0\r\n\r\n',),
+        (_POST + b'Transfer-Encoding: \x0bchunked\r\n\r\n0\r\n\r\n',),
+        (_GET + b'X: a\r\n b\r\n\r\n',),
+        (_GET + b'X: a\r\n', b'\tb\r\n\r\n'),
+        (_POST + b'Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n',),
+        (b'GET /proofs HTTP/1.1\nHost: a\n\n',),
+        (_GET + b'X: a\nY: b\r\n\r\n',),
+        (_GET + b'X: a\0b\r\n\r\n',),
+        (_GET + b'Host: other\r\n\r\n',),
+        (_GET + _AUTH + b'\r\n',),
+        (b'GET /proofs HTTP/1.1\r\n' + _AUTH + b'\r\n',),
+        (_GET + b'Connection: authorization\r\n\r\n',),
+        (_GET + b'X: \xff\r\n\r\n',),
+        (_GET.replace(b'/proofs/1', b'http://b/proofs') + b'\r\n',),
+        (b'CONNECT mesh:80 HTTP/1.1\r\n' + _HOST + _AUTH + b'\r\n',),
+        (_GET.replace(b'/proofs', b'/public/../proofs') + b'\r\n',),
+        (_GET.replace(b'/proofs', b'/public/%2e%2e/proofs') + b'\r\n',),
+        (_GET.replace(b'/proofs', b'/public/..;/proofs') + b'\r\n',),
+        (_GET.replace(b'/proofs', b'//proofs') + b'\r\n',),
+        (_GET.replace(b'/proofs', b'/%70roofs') + b'\r\n',),
+        (_GET.replace(b'/proofs/1', b'/proofs?k=' + _KEY) + b'\r\n',),
+        (_GET + b'Wagtailline-Timeout-Ms: 1e3\r\n\r\n',),
+        (_POST + b'Upgrade: h2c\r\nConnection: upgrade\r\n'
+         b'Content-Length: 3\r\n\r\nabc',),
+    ],
+)  # fmt: skip
+def test_malformed_request_is_refused(parts):
+    """A form that two servers read differently smuggles a request."""
+    answer, upstream = _ask(*parts)
+    assert answer.startswith(b'HTTP/1.1 400 '), answer
+    assert b'"executed": "no"' in answer
+    assert upstream.calls == []
+
+
+@pytest.mark.parametrize('version', [b'0.9', b'1.0', b'2.0'])
+def test_other_versions_are_refused(version):
+    """HTTP/1.0 has no framing that shows a truncated answer."""
+    answer, upstream = _ask(_GET.replace(b'1.1', version) + b'\r\n')
+    assert answer.startswith(b'HTTP/1.1 505 '), answer
+    assert upstream.calls == []
+
+
+def test_bytes_behind_a_refused_request_start_nothing():
+    """The body of a refused request must not be read as a request."""
+    smuggled = _GET + b'\r\n'
+    answer, upstream = _ask(
+        _POST + _CHUNKED + b'Content-Length: 3\r\n\r\n0\r\n\r\n' + smuggled,
+        smuggled,
+    )
+    assert answer.count(b'HTTP/1.1') == 1
+    assert upstream.calls == []
+
+
+def test_bytes_behind_an_upgrade_start_nothing():
+    """uvicorn drops the rest of the packet and parses the next as a head."""
+    head = _GET + b'Connection: upgrade\r\nUpgrade: h2c\r\n\r\n'
+    behind = _POST + b'Content-Length: 99\r\n\r\n'
+    answer, upstream = _ask(head + behind, _GET + b'\r\n')
+    assert answer.count(b'HTTP/1.1') == 1
+    assert len(upstream.calls) == 1
+
+
+def test_key_and_reserved_headers_stay_at_the_ingress(caplog):
+    """No key in any header form reaches an upstream or a log line."""
+    caplog.set_level(logging.DEBUG)
+    answer, upstream = _ask(
+        b'POST /proofs HTTP/1.1\r\n'
+        + _HOST
+        + b'aUTHORIZATION:\tbeaREr '
+        + _KEY
+        + b' \r\nProxy-Authorization: Basic '
+        + _KEY
+        + b'\r\nX-Copy: <'
+        + _KEY
+        + b'>\r\nWagtailline-Client-Account: other\r\nWAGTAILLINE_DEPTH: 1\r\n'
+        b'Wagtailline-Timeout-Ms: 250\r\nWagtailline-Depth: 3\r\n'
+        b'Idempotency-Key: i1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTE: x\r\n'
+        b'Expect: 100-continue\r\nX-Kept: 1\r\n'
+        + _CHUNKED
+        + b'\r\n3\r\nabc\r\n0\r\nAuthorization: Bearer '
+        + _KEY
+        + b'\r\nX-Trailer: 1\r\n\r\n'
+    )
+    ((request, content),) = upstream.calls
+    assert request.headers == (
+        (b'host', b'mesh'),
+        (b'idempotency-key', b'i1'),
+        (b'x-kept', b'1'),
+    )
+    assert content == b'abc'
+    assert request.client_account == 'studio'
+    assert request.key_digest == digest_key(_KEY)
+    assert (request.timeout_ms, request.depth) == (250, 3)
+    assert (request.version, request.idempotency_key) == (7, 'i1')
+    assert _KEY.decode() not in repr(request) + caplog.text
+    assert b'x-hop' not in answer.lower()
+
+
+@pytest.mark.parametrize(
+    ('head', 'status', 'executed'),
+    [
+        (b'GET /proofs HTTP/1.1\r\n' + _HOST, 401, 'no'),
+        (_GET.replace(_KEY, b'wrong'), 401, 'no'),
+        (_GET.replace(b'Bearer', b'Basic'), 401, 'no'),
+        (_GET.replace(b'/proofs', b'/others'), 403, 'no'),
+        (_GET.replace(b'/proofs', b'/proofses'), 404, 'no'),
+        (_GET.replace(b'/proofs', b'/proofs/refuse'), 503, 'no'),
+        (_GET.replace(b'/proofs', b'/proofs/lost'), 502, 'unknown'),
+    ],
+)
+def test_refusal_is_a_problem_document(head, status, executed):
+    """A caller that can't tell "not run" apart repeats payments."""
+    answer, _ = _ask(head + b'\r\n')
+    head, _, body = answer.partition(b'\r\n\r\n')
+    assert head.startswith(b'HTTP/1.1 %d ' % status)
+    assert b'application/problem+json' in head
+    assert json.loads(body)['executed'] == executed
+    assert (b'retry-after: ' in head) == (status == 503)
+
+
+def test_exhausted_allowance_is_429():
+    """A request above the rate must not reach a gate."""
+
+    def exhaust(upstream):
+        upstream.granted = False
+
+    answer, upstream = _ask(_GET + b'\r\n', upstream_setup=exhaust)
+    assert answer.startswith(b'HTTP/1.1 429 ')
+    assert b'retry-after: ' in answer
+    assert upstream.calls == []
+
+
+def test_truncated_answer_is_not_terminated():
+    """A last chunk behind a cut body would make it look whole."""
+    answer, _ = _ask(_GET.replace(b'1 ', b'cut ', 1) + b'\r\n')
+    assert answer.endswith(b'4\r\npart\r\n')
+
+
+@pytest.mark.parametrize('tail', [b'x', b'-1\r\n'])
+def test_malformed_body_is_refused_as_unknown(tail):
+    """The upstream may have begun on the start of the body."""
+    answer, upstream = _ask(*_chunked(tail))
+    assert answer.startswith(b'HTTP/1.1 400 ')
+    assert upstream.calls == []
+
+
+def test_malformed_second_request_does_not_answer_the_first():
+    """uvicorn writes the 400 before the answer that is due."""
+    answer, _ = _ask(_GET.replace(b'1 ', b'lost ', 1) + b'\r\n' + b'bad\r\n')
+    assert answer.startswith(b'HTTP/1.1 502 ')
+    assert answer.count(b'HTTP/1.1') == 1
+
+
+def test_endless_head_is_refused():
+    """A head without an end would fill the memory."""
+    answer, _ = _ask(_GET + b'X: ', *[b'a' * 30_000] * 3)
+    assert answer.startswith(b'HTTP/1.1 431 ')
+
+
+def test_call_is_cancelled_when_its_caller_leaves():
+    """Work for nobody occupies a slot of a fragile upstream."""
+
+    async def scenario():
+        upstream = Upstream()
+        async with _serve(upstream) as port:
+            _, writer = await asyncio.open_connection('127.0.0.1', port)
+            writer.write(_GET.replace(b'1 ', b'wait ', 1) + b'\r\n')
+            while not upstream.calls:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.wait_for(upstream.cancelled.wait(), 5)
+
+    asyncio.run(scenario())
+
+
+def test_pipelined_answers_keep_their_order():
+    """Answers on one connection belong to requests by order alone."""
+    heads = [_GET.replace(b'1 ', b'%d ' % n, 1) + b'\r\n' for n in range(5)]
+    answer, _ = _ask(b''.join(heads))
+    bodies = [
+        part.split(b'\r\n\r\n')[1] for part in answer.split(b'HTTP/1.1')[1:]
+    ]
+    assert bodies == [b'/proofs/%d|' % n for n in range(5)]
+
+
+def test_protocol_is_the_configured_one():
+    """With uvicorn's own protocol several of these tests fail."""
+    config = ingress_config(lambda: None, '127.0.0.1', 0)
+    assert config.http is IngressProtocol
+    assert not config.access_log
