Add the gate and the at-most-once record

Change: packages admission (limit, fair queue, drain, crash suspects) and executions (keys, ownership, bounded records). Conclusion: interface is in place for the other subsystems.

--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/admission/__init__.py
@@ -0,0 +1,60 @@
+"""Admission of requests to a local upstream.
+
+A gate bounds the requests in progress by what answers show that the
+upstream can bear, and queues others fairly between client accounts.
+"""
+
+from wagtailline.admission._follow import apply_snapshot, follow_snapshots
+from wagtailline.admission._gate import Gate, GateIdentity
+from wagtailline.admission._outcomes import (
+    Answered,
+    Cancelled,
+    ConnectionRefused,
+    Outcome,
+    RefusedByUpstream,
+    ResetBeforeFirstByte,
+    ResetLater,
+    TimedOut,
+    Unused,
+)
+from wagtailline.admission._slot import Slot
+from wagtailline.admission._types import (
+    DeadlinePassed,
+    Draining,
+    GateRefusal,
+    GateSettings,
+    QueueFull,
+    SuspectBlocked,
+    Ticket,
+    UpstreamDown,
+    WaitTooLong,
+)
+from wagtailline.admission.messages import ADMISSION_KINDS, SuspectNotice
+
+__all__ = (
+    'ADMISSION_KINDS',
+    'Answered',
+    'Cancelled',
+    'ConnectionRefused',
+    'DeadlinePassed',
+    'Draining',
+    'Gate',
+    'GateIdentity',
+    'GateRefusal',
+    'GateSettings',
+    'Outcome',
+    'QueueFull',
+    'RefusedByUpstream',
+    'ResetBeforeFirstByte',
+    'ResetLater',
+    'Slot',
+    'SuspectBlocked',
+    'SuspectNotice',
+    'Ticket',
+    'TimedOut',
+    'Unused',
+    'UpstreamDown',
+    'WaitTooLong',
+    'apply_snapshot',
+    'follow_snapshots',
+)
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/admission/_queue.py
@@ -0,0 +1,159 @@
+"""Bounded queue with deficit round robin over client accounts."""
+
+import asyncio
+from collections import deque
+
+from result import Result
+
+from wagtailline.admission._slot import Slot
+from wagtailline.admission._types import (
+    GateRefusal,
+    Ticket,
+)
+
+
+class Waiter:
+    """A request in the queue and the future that ends its wait."""
+
+    __slots__ = ('grant', 'ticket')
+
+    def __init__(self, ticket: Ticket) -> None:
+        """Wait on the running loop."""
+        self.ticket = ticket
+        self.grant: asyncio.Future[Result[Slot, GateRefusal]] = (
+            asyncio.get_running_loop().create_future()
+        )
+
+    def end(self, verdict: Result[Slot, GateRefusal]) -> None:
+        """End the wait unless the caller has left."""
+        if not self.grant.done():
+            self.grant.set_result(verdict)
+
+
+class _Line:
+    """Waiting requests of one account in order of arrival."""
+
+    __slots__ = ('account', 'deficit', 'visited', 'waiters', 'weight')
+
+    def __init__(self, account: str, weight: int) -> None:
+        self.account = account
+        self.weight = max(weight, 1)
+        self.deficit = 0
+        self.visited = False
+        self.waiters: deque[Waiter] = deque()
+
+
+class FairQueue:
+    """Serves accounts in proportion to their weights."""
+
+    def __init__(self) -> None:
+        """Begin empty."""
+        self._lines: dict[str, _Line] = {}
+        self._ring: deque[_Line] = deque()
+        # One request costs the largest weight in the queue, so that a turn
+        # of any account is at most one request.
+        self._cost = 1
+        self._length = 0
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return self._length
+
+    def push(self, waiter: Waiter) -> None:
+        """Append a request to the line of its account."""
+        account = waiter.ticket.client_account
+        line = self._lines.get(account)
+        if line is None:
+            line = _Line(account, waiter.ticket.weight)
+            self._lines[account] = line
+            self._ring.append(line)
+            self._cost = max(self._cost, line.weight)
+        line.waiters.append(waiter)
+        self._length += 1
+
+    def pop(self) -> Waiter | None:
+        """Take the next request in turn."""
+        while self._ring:
+            line = self._ring[0]
+            if not line.visited:
+                line.visited = True
+                line.deficit = min(line.deficit, self._cost) + line.weight
+            if line.deficit >= self._cost:
+                line.deficit -= self._cost
+                waiter = line.waiters.popleft()
+                self._shorten(line)
+                return waiter
+            line.visited = False
+            self._ring.rotate(-1)
+        return None
+
+    def remove(self, waiter: Waiter) -> None:
+        """Take a request out of its line if it is still there."""
+        line = self._lines.get(waiter.ticket.client_account)
+        if line is not None and waiter in line.waiters:
+            line.waiters.remove(waiter)
+            self._shorten(line)
+
+    def ahead_of(self, account: str, weight: int) -> float:
+        """Estimate how many requests run before a new one of an account."""
+        own = self._lines.get(account)
+        before = len(own.waiters) if own else 0
+        others = self._others_ahead(own, before + 1, weight)
+        return before + others
+
+    def positions(self) -> tuple[tuple[Waiter, float], ...]:
+        """Return each request with those estimated to run before it."""
+        return tuple(
+            (waiter, at + self._others_ahead(line, at + 1, line.weight))
+            for line in self._ring
+            for at, waiter in enumerate(line.waiters)
+        )
+
+    def displace(self, account: str, weight: int) -> Waiter | None:
+        """Take out the newest request of the longest line.
+
+        None when no line would still be longer than the given account's.
+        """
+        longest = max(self._ring, key=_length_by_weight, default=None)
+        own = self._lines.get(account)
+        if longest is None or longest is own:
+            return None
+        own_length = len(own.waiters) if own else 0
+        if _length_by_weight(longest) <= (own_length + 1) / max(weight, 1):
+            return None
+        waiter = longest.waiters.pop()
+        self._shorten(longest)
+        return waiter
+
+    def clear(self) -> tuple[Waiter, ...]:
+        """Take out all requests."""
+        waiters = self.waiters()
+        self._lines.clear()
+        self._ring.clear()
+        self._cost = 1
+        self._length = 0
+        return waiters
+
+    def waiters(self) -> tuple[Waiter, ...]:
+        """Return the waiting requests, by account."""
+        return tuple(one for line in self._ring for one in line.waiters)
+
+    def _others_ahead(
+        self, own: _Line | None, turns: int, weight: int
+    ) -> float:
+        return sum(
+            min(len(line.waiters), turns * line.weight / max(weight, 1))
+            for line in self._ring
+            if line is not own
+        )
+
+    def _shorten(self, line: _Line) -> None:
+        self._length -= 1
+        if not line.waiters:
+            self._lines.pop(line.account, None)
+            self._ring.remove(line)
+            self._cost = max((one.weight for one in self._ring), default=1)
+
+
+def _length_by_weight(line: _Line) -> float:
+    return len(line.waiters) / line.weight
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/admission/_slot.py
@@ -0,0 +1,39 @@
+"""A slot of the upstream, held by one request."""
+
+from collections.abc import Callable
+
+from wagtailline.admission._outcomes import (
+    Outcome,
+)
+from wagtailline.admission._types import (
+    Ticket,
+)
+
+
+class Slot:
+    """Permission to send one request to the upstream."""
+
+    __slots__ = ('_give_back', 'answering', 'released', 'started', 'ticket')
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        started: float,
+        give_back: Callable[['Slot', Outcome], None],
+    ) -> None:
+        """Belong to a gate."""
+        self.ticket = ticket
+        self.started = started
+        self.answering = False
+        self.released = False
+        self._give_back = give_back
+
+    def begin_answer(self) -> None:
+        """Note the first byte: a long answer is not a stalled upstream."""
+        self.answering = True
+
+    def release(self, outcome: Outcome) -> None:
+        """Give the slot back; a second call has no effect."""
+        if not self.released:
+            self.released = True
+            self._give_back(self, outcome)
