--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/sample_set.py
@@ -0,0 +1,49 @@
+"""Object sets of any size for tests and benchmarks."""
+
+from collections.abc import Iterator
+
+from wagtailline.objects import (
+    ClientAccount,
+    DataCentre,
+    Endpoint,
+    Key,
+    Limit,
+    ObjectId,
+    PublishedObject,
+    Route,
+    Service,
+    object_id,
+)
+
+
+def make_objects(
+    endpoints: int, services: int, data_centres: int, accounts: int = 8
+) -> dict[ObjectId, PublishedObject]:
+    """Return a sound set; endpoints are spread evenly."""
+    return {
+        object_id(published): published
+        for published in _generate(endpoints, services, data_centres, accounts)
+    }
+
+
+def _generate(
+    endpoints: int, services: int, data_centres: int, accounts: int
+) -> Iterator[PublishedObject]:
+    for centre in range(data_centres):
+        yield DataCentre(f'dc{centre}', f'region{centre % 3}')
+    for service in range(services):
+        yield Service(f'service{service}')
+        yield Route(f'route{service}', f'/s{service}', f'service{service}')
+    for account in range(accounts):
+        yield Limit(f'limit{account}', 50.0 + account, 20)
+        yield ClientAccount(f'account{account}', f'limit{account}')
+        yield Key(f'key{account}', f'account{account}', f'{account:064x}')
+    for number in range(endpoints):
+        location = number % data_centres
+        yield Endpoint(
+            f'endpoint{number}.dc{location}',
+            f'service{number // data_centres % services}',
+            f'dc{location}',
+            slots=6,
+            connections=120,
+        )
--- a/packages/wagtailline/src/wagtailline/checks.py
+++ b/packages/wagtailline/src/wagtailline/checks.py
@@ -69,20 +69,29 @@
 def check_set(objects: ObjectMap) -> tuple[SetFault, ...]:
     """Return every fault of the set; an empty tuple means it is sound."""
     faults: list[SetFault] = []
-    claims = _Claims({}, {})
+    claims = Claims({}, {})
     for published in objects.values():
-        faults.extend(_dangling(published, objects))
-        faults.extend(_check_one(published, claims))
+        faults.extend(check_object(published, objects, claims))
     return tuple(faults)
 
 
-class _Claims(NamedTuple):
+class Claims(NamedTuple):
+    """Names of the keys by digest and of the routes by prefix."""
+
     digests: dict[str, str]
     prefixes: dict[str, str]
 
 
+def check_object(
+    published: PublishedObject, objects: ObjectMap, claims: Claims
+) -> Iterator[SetFault]:
+    """Yield the faults of one object; its claims are added."""
+    yield from _dangling(published, objects)
+    yield from _check_one(published, claims)
+
+
 def _check_one(
-    published: PublishedObject, claims: _Claims
+    published: PublishedObject, claims: Claims
 ) -> Iterator[SetFault]:
     match published:
         case Key(name=name, digest=digest):
--- a/packages/wagtailline/src/wagtailline/snapshot.py
+++ b/packages/wagtailline/src/wagtailline/snapshot.py
@@ -1,17 +1,24 @@
 """The configuration in force in one process."""
 
 import asyncio
-from collections import defaultdict
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
+from wagtailline._indexes import (
+    check_changes,
+    find_longest_prefix,
+    index_objects,
+    update_indexes,
+)
+from wagtailline.checks import SetFault
 from wagtailline.objects import (
     ClientAccount,
     DataCentre,
     Endpoint,
-    Key,
     Limit,
+    ObjectId,
     ObjectMap,
     Route,
 )
@@ -25,39 +32,46 @@
         self.version = version
         self.digest = digest
         self.objects = objects
-        self._accounts_by_key: dict[str, str] = {}
-        self._routes: list[Route] = []
-        self._endpoints: dict[str, list[Endpoint]] = defaultdict(list)
-        for published in objects.values():
-            match published:
-                case Key():
-                    self._accounts_by_key[published.digest] = (
-                        published.client_account
-                    )
-                case Route():
-                    self._routes.append(published)
-                case Endpoint():
-                    self._endpoints[published.service].append(published)
-        self._routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._indexes = index_objects(objects)
+
+    def advance(
+        self,
+        version: int,
+        digest: bytes,
+        objects: ObjectMap,
+        changed: Iterable[ObjectId],
+    ) -> 'Snapshot':
+        """Return the next version; only indexes of changed kinds are copied.
+
+        ``changed`` are the objects that differ, those removed included.
+        """
+        following = Snapshot.__new__(Snapshot)
+        following.version = version
+        following.digest = digest
+        following.objects = objects
+        following._indexes = update_indexes(
+            self._indexes, self.objects, objects, changed
+        )
+        return following
+
+    def find_faults(
+        self, objects: ObjectMap, changed: Collection[ObjectId]
+    ) -> tuple[SetFault, ...]:
+        """Return the faults of a set that differs from this sound one."""
+        return check_changes(self._indexes, self.objects, objects, changed)
 
     def account_of_key(self, digest: str) -> ClientAccount | None:
         """Return the account that a key digest belongs to."""
-        name = self._accounts_by_key.get(digest)
-        if name is None:
-            return None
-        found = self.objects.get(('client_accounts', name))
-        return found if isinstance(found, ClientAccount) else None
+        key = self._indexes.keys.get(digest)
+        return None if key is None else self.find_account(key.client_account)
 
     def match_route(self, path: str) -> Route | None:
         """Return the route with the longest prefix of the path."""
-        for route in self._routes:
-            if _has_prefix(path, route.prefix):
-                return route
-        return None
+        return find_longest_prefix(self._indexes.routes, path)
 
     def endpoints_of(self, service: str) -> tuple[Endpoint, ...]:
         """Return all endpoints of a service, in or out of service."""
-        return tuple(self._endpoints.get(service, ()))
+        return self._indexes.endpoints.get(service, ())
 
     def find_endpoint(self, name: str) -> Endpoint | None:
         """Return the endpoint of this name."""
@@ -146,13 +160,3 @@
     if current.digest == offered.digest:
         return Ok(None)
     return Err(ForkedVersion(current.version, current.digest, offered.digest))
-
-
-def _has_prefix(path: str, prefix: str) -> bool:
-    if not path.startswith(prefix):
-        return False
-    return (
-        prefix.endswith('/')
-        or len(path) == len(prefix)
-        or path[len(prefix)] in '/?'
-    )
