--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/allowance/_homes.py
@@ -0,0 +1,227 @@
+"""Homes: the limits whose tokens this position generates."""
+
+from collections.abc import Sequence
+from math import exp
+
+from wagtailline.allowance._bucket import Bucket
+from wagtailline.allowance._leases import Leases
+from wagtailline.allowance._messages import (
+    Grant,
+    GrantRequest,
+    GrantReturn,
+    SpentReport,
+)
+from wagtailline.allowance._plan import (
+    NO_SHARE,
+    HomeShare,
+    LimitPlan,
+    Plan,
+    PlanCache,
+)
+from wagtailline.allowance._settings import AllowanceSettings, Identity
+from wagtailline.objects import Limit
+from wagtailline.ports import Clock
+
+# The demand of the own data centre is averaged over this time.
+_DEMAND_SECONDS = 0.5
+# Replies are kept for repeated requests while the grant may be useful.
+_REPLY_SECONDS = 5
+# A longer wait is reported as this one, as a rate may be tiny.
+_MAX_WAIT_SECONDS = 3600
+_NO_FRACTION: tuple[float, float] = (0, 0)
+
+
+class _Home:
+    """State of one limit at this home."""
+
+    def __init__(self, now: float) -> None:
+        self.bucket = Bucket(now)
+        self.valid_until = float('-inf')
+        self.fraction = _NO_FRACTION
+        self.replies: dict[str, tuple[int, float, Grant]] = {}
+        self.demand: float = 0
+        self.demand_at = now
+
+    def count_demand(self, tokens: int, now: float) -> None:
+        """Add tokens to the recent demand of the own data centre."""
+        passed = now - self.demand_at
+        self.demand = self.demand * exp(-passed / _DEMAND_SECONDS) + tokens
+        self.demand_at = now
+
+    def reserve(self, now: float) -> float:
+        """Return the tokens kept back for the own data centre."""
+        passed = now - self.demand_at
+        demand = self.demand * exp(-passed / _DEMAND_SECONDS)
+        return min(demand, self.bucket.share.tokens / 2)
+
+    def forget_replies(self, now: float) -> None:
+        """Drop replies that no request repeats any more."""
+        for borrower, (_, sent, _grant) in tuple(self.replies.items()):
+            if sent < now - _REPLY_SECONDS:
+                self.replies.pop(borrower)
+
+
+class Homes:
+    """Answers borrowers out of the buckets of this position."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        plans: PlanCache,
+        leases: Leases,
+        clock: Clock,
+        settings: AllowanceSettings,
+    ) -> None:
+        """Begin with empty buckets, whatever was generated before."""
+        self._identity = identity
+        self._plans = plans
+        self._leases = leases
+        self._clock = clock
+        self._settings = settings
+        self._homes: dict[str, _Home] = {}
+
+    def answer(self, request: GrantRequest) -> Grant | None:
+        """Grant what there is; None for a request that came too late."""
+        plan = self._plans.current()
+        limit = plan.limit(request.limit) if plan else None
+        if plan is None or limit is None:
+            return None
+        home = self._refresh(request.limit, plan)
+        self._settle(home, request.home, request.borrower, request.reports)
+        sequence, _, reply = home.replies.get(request.borrower, (0, 0, None))
+        if request.sequence <= sequence:
+            return reply if request.sequence == sequence else None
+        grant = self._grant(home, request, limit.limit.burst)
+        now = self._clock.monotonic()
+        home.replies[request.borrower] = (request.sequence, now, grant)
+        return grant
+
+    def take_back(self, returned: GrantReturn) -> None:
+        """Record spending and returned tokens."""
+        plan = self._plans.current()
+        if plan is not None and returned.limit in self._homes:
+            home = self._refresh(returned.limit, plan)
+            self._settle(
+                home, returned.home, returned.borrower, returned.reports
+            )
+
+    def refresh_all(self) -> None:
+        """Generate tokens in every bucket, also where nobody asks."""
+        plan = self._plans.current()
+        if plan is None:
+            return
+        identity = self._identity
+        for group in plan.groups_of(identity.data_centre, identity.endpoint):
+            for limit in plan.limits_of(group):
+                self._refresh(limit.name, plan)
+        now = self._clock.monotonic()
+        for name, home in tuple(self._homes.items()):
+            home.forget_replies(now)
+            self._refresh(name, plan)
+            if home.bucket.is_idle():
+                self._homes.pop(name)
+
+    def _refresh(self, name: str, plan: Plan) -> _Home:
+        now = self._clock.monotonic()
+        if name not in self._homes:
+            self._homes[name] = _Home(now)
+        home = self._homes[name]
+        share = home.bucket.share
+        limit = plan.limit(name)
+        burst = limit.limit.burst if limit else 0
+        if limit is None:
+            share = NO_SHARE
+            home.fraction = _NO_FRACTION
+        elif self._leases.valid_until(limit.group) > now:
+            share = self._find_share(home, limit, plan, now)
+        # Part of the time since the last call may have passed under the new
+        # share already, so the lower one of both counts for it.
+        home.bucket.change_share(_lower(share, home.bucket.share), burst)
+        home.bucket.advance(now, home.valid_until)
+        home.bucket.change_share(share, burst)
+        if limit is not None:
+            home.fraction = _fraction(share, limit.limit)
+            home.valid_until = max(
+                home.valid_until, self._leases.valid_until(limit.group)
+            )
+        return home
+
+    def _find_share(
+        self, home: _Home, plan: LimitPlan, whole: Plan, now: float
+    ) -> HomeShare:
+        """Return the published share, or what is safe of it until then.
+
+        Grants of an earlier holder or split can still be spent for a grant
+        time; until that has passed, a share may shrink but not grow. After a
+        lapse long enough for another split to come and go, it is zero.
+        """
+        identity = self._identity
+        target = whole.share(
+            plan.limit.name, identity.data_centre, identity.endpoint
+        )
+        digest = whole.group(plan.group, identity.data_centre).digest
+        if self._leases.is_settled(plan.group, digest):
+            return target
+        if now - home.valid_until >= self._settings.lease_seconds:
+            return NO_SHARE
+        tokens, rate = home.fraction
+        kept = HomeShare(int(tokens * plan.limit.burst), rate * plan.limit.rate)
+        return _lower(target, kept)
+
+    def _settle(
+        self,
+        home: _Home,
+        issuer: str,
+        borrower: str,
+        reports: Sequence[SpentReport],
+    ) -> None:
+        # Grant numbers begin again in each process, so a report about an
+        # earlier process of this position must not free grants of this one.
+        if issuer == self._identity.key:
+            for report in reports:
+                home.bucket.settle(borrower, report)
+
+    def _grant(self, home: _Home, request: GrantRequest, burst: int) -> Grant:
+        now = self._clock.monotonic()
+        local = request.data_centre == self._identity.data_centre
+        if local:
+            home.count_demand(request.waiting + request.prefetch, now)
+        usable = home.bucket.level if home.valid_until > now else 0
+        reserve = 0 if local else home.reserve(now)
+        free = max(0, int(usable - reserve))
+        waiting = min(request.waiting, free)
+        tokens = waiting + min(request.prefetch, (free - waiting) // 2)
+        number = 0
+        if tokens:
+            expires = now + self._settings.held_grant_seconds
+            number = home.bucket.take(request.borrower, tokens, expires)
+        wait: float = 0
+        if tokens < request.waiting or not tokens:
+            wait = self._seconds_until_next(home, reserve, now)
+        return Grant(
+            request.limit,
+            self._identity.key,
+            request.sequence,
+            number,
+            tokens,
+            burst,
+            wait * 1000,
+        )
+
+    def _seconds_until_next(
+        self, home: _Home, reserve: float, now: float
+    ) -> float:
+        if home.valid_until <= now or not home.bucket.share.tokens:
+            return self._settings.suspect_seconds
+        wait = home.bucket.seconds_until(1 + reserve)
+        return min(wait, _MAX_WAIT_SECONDS)
+
+
+def _lower(first: HomeShare, second: HomeShare) -> HomeShare:
+    return HomeShare(
+        min(first.tokens, second.tokens), min(first.rate, second.rate)
+    )
+
+
+def _fraction(share: HomeShare, limit: Limit) -> tuple[float, float]:
+    return share.tokens / limit.burst, share.rate / limit.rate
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/allowance/_messages.py
@@ -0,0 +1,112 @@
+"""Messages between borrowers, homes and witnesses."""
+
+from typing import Annotated, NamedTuple
+
+from msgspec import Meta
+
+from wagtailline.codec import Message
+
+Count = Annotated[int, Meta(ge=0, le=10_000_000)]
+Milliseconds = Annotated[float, Meta(ge=0, le=1e9)]
+
+
+class SpentReport(NamedTuple):
+    """Tokens of one grant spent so far.
+
+    A closed grant is spent no more, and ``returned`` tokens of it go back;
+    ``burst`` is that of the limit by which they were last scaled.
+    """
+
+    grant: int
+    spent: Count
+    closed: bool = False
+    returned: Count = 0
+    burst: Count = 0
+
+
+class GrantRequest(NamedTuple):
+    """Asks a home for tokens; a repeated sequence gets the same grant.
+
+    ``home`` is the process that issued the grants reported, ``waiting`` the
+    callers that wait now and ``prefetch`` what more would be useful.
+    """
+
+    limit: str
+    borrower: str
+    data_centre: str
+    sequence: int
+    waiting: Count
+    prefetch: Count
+    home: str = ''
+    reports: tuple[SpentReport, ...] = ()
+
+
+class Grant(NamedTuple):
+    """Tokens leased for the grant time, none when ``tokens`` is zero.
+
+    ``burst`` is that of the limit when the tokens were issued, so that a
+    receiver with a lowered limit can scale them; ``wait_ms`` is the time
+    until the home expects its next token.
+    """
+
+    limit: str
+    home: str
+    sequence: int
+    grant: int
+    tokens: Count
+    burst: Count
+    wait_ms: Milliseconds
+
+
+class GrantReturn(NamedTuple):
+    """Reports spending, or closes grants, without asking for tokens."""
+
+    limit: str
+    borrower: str
+    home: str
+    reports: tuple[SpentReport, ...]
+
+
+class LeaseClaim(NamedTuple):
+    """A group of limits and the split that the home acts on."""
+
+    group: int
+    version: int
+    digest: bytes
+
+
+class LeaseRequest(NamedTuple):
+    """A home asks a witness to confirm it for the lease time."""
+
+    endpoint: str
+    vm: str
+    incarnation: int
+    claims: tuple[LeaseClaim, ...]
+
+
+class LeaseAnswer(NamedTuple):
+    """A witness's answer for one group.
+
+    ``quiet_ms`` is how long no other holder of the position, and no home of
+    another split of the group, has had a lease of this witness.
+    """
+
+    group: int
+    confirmed: bool
+    quiet_ms: Milliseconds = 0
+    superseded: bool = False
+
+
+class LeaseReply(NamedTuple):
+    """Answers of one witness, in the order of the claims."""
+
+    answers: tuple[LeaseAnswer, ...]
+
+
+ALLOWANCE_KINDS: dict[int, type[Message]] = {
+    40: GrantRequest,
+    41: Grant,
+    42: GrantReturn,
+    43: LeaseRequest,
+    44: LeaseReply,
+}
