Verify the split of a limit with all data centres before a share grows

Cause: a data centre that gains share of a limit could generate while a cut off one still acted on the older split; a home that was paused with its clock could grant by a lease that had ended. Change: witnesses keep the newest split of a group and the time since the last conflicting lease; a home uses a grown share only after a majority of every data centre has told that no other split is in use for a grant time.

--- a/packages/wagtailline/src/wagtailline/allowance/_homes.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_homes.py
@@ -4,6 +4,7 @@
 from math import exp
 
 from wagtailline.allowance._bucket import Bucket
+from wagtailline.allowance._elapsed import Moment, Stopwatch
 from wagtailline.allowance._leases import Leases
 from wagtailline.allowance._messages import (
     Grant,
@@ -20,7 +21,6 @@
 )
 from wagtailline.allowance._settings import AllowanceSettings, Identity
 from wagtailline.objects import Limit
-from wagtailline.ports import Clock
 
 # The demand of the own data centre is averaged over this time.
 _DEMAND_SECONDS = 0.5
@@ -28,6 +28,7 @@
 _REPLY_SECONDS = 5
 # A longer wait is reported as this one, as a rate may be tiny.
 _MAX_WAIT_SECONDS = 3600
+_NEVER = float('-inf')
 _NO_FRACTION: tuple[float, float] = (0, 0)
 
 
@@ -36,7 +37,8 @@
 
     def __init__(self, now: float) -> None:
         self.bucket = Bucket(now)
-        self.valid_until = float('-inf')
+        self.valid_until = _NEVER
+        self.confirmed = Moment(_NEVER, _NEVER)
         self.fraction = _NO_FRACTION
         self.replies: dict[str, tuple[int, float, Grant]] = {}
         self.demand: float = 0
@@ -69,14 +71,14 @@
         identity: Identity,
         plans: PlanCache,
         leases: Leases,
-        clock: Clock,
+        stopwatch: Stopwatch,
         settings: AllowanceSettings,
     ) -> None:
         """Begin with empty buckets, whatever was generated before."""
         self._identity = identity
         self._plans = plans
         self._leases = leases
-        self._clock = clock
+        self._stopwatch = stopwatch
         self._settings = settings
         self._homes: dict[str, _Home] = {}
 
@@ -92,7 +94,7 @@
         if request.sequence <= sequence:
             return reply if request.sequence == sequence else None
         grant = self._grant(home, request, limit.limit.burst)
-        now = self._clock.monotonic()
+        now = self._stopwatch.now().monotonic
         home.replies[request.borrower] = (request.sequence, now, grant)
         return grant
 
@@ -114,7 +116,7 @@
         for group in plan.groups_of(identity.data_centre, identity.endpoint):
             for limit in plan.limits_of(group):
                 self._refresh(limit.name, plan)
-        now = self._clock.monotonic()
+        now = self._stopwatch.now().monotonic
         for name, home in tuple(self._homes.items()):
             home.forget_replies(now)
             self._refresh(name, plan)
@@ -122,7 +124,7 @@
                 self._homes.pop(name)
 
     def _refresh(self, name: str, plan: Plan) -> _Home:
-        now = self._clock.monotonic()
+        now = self._stopwatch.now().monotonic
         if name not in self._homes:
             self._homes[name] = _Home(now)
         home = self._homes[name]
@@ -133,7 +135,7 @@
             share = NO_SHARE
             home.fraction = _NO_FRACTION
         elif self._leases.valid_until(limit.group) > now:
-            share = self._find_share(home, limit, plan, now)
+            share = self._find_share(home, limit, plan)
         # Part of the time since the last call may have passed under the new
         # share already, so the lower one of both counts for it.
         home.bucket.change_share(_lower(share, home.bucket.share), burst)
@@ -141,13 +143,13 @@
         home.bucket.change_share(share, burst)
         if limit is not None:
             home.fraction = _fraction(share, limit.limit)
-            home.valid_until = max(
-                home.valid_until, self._leases.valid_until(limit.group)
-            )
+            home.valid_until = self._leases.valid_until(limit.group)
+        if home.valid_until > now:
+            home.confirmed = self._stopwatch.now()
         return home
 
     def _find_share(
-        self, home: _Home, plan: LimitPlan, whole: Plan, now: float
+        self, home: _Home, plan: LimitPlan, whole: Plan
     ) -> HomeShare:
         """Return the published share, or what is safe of it until then.
 
@@ -162,7 +164,8 @@
         digest = whole.group(plan.group, identity.data_centre).digest
         if self._leases.is_settled(plan.group, digest):
             return target
-        if now - home.valid_until >= self._settings.lease_seconds:
+        lapse = self._stopwatch.elapsed(home.confirmed)
+        if lapse >= self._settings.lease_seconds:
             return NO_SHARE
         tokens, rate = home.fraction
         kept = HomeShare(int(tokens * plan.limit.burst), rate * plan.limit.rate)
@@ -182,7 +185,7 @@
                 home.bucket.settle(borrower, report)
 
     def _grant(self, home: _Home, request: GrantRequest, burst: int) -> Grant:
-        now = self._clock.monotonic()
+        now = self._stopwatch.now().monotonic
         local = request.data_centre == self._identity.data_centre
         if local:
             home.count_demand(request.waiting + request.prefetch, now)
--- a/packages/wagtailline/src/wagtailline/allowance/_messages.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_messages.py
@@ -68,19 +68,29 @@
 
 
 class LeaseClaim(NamedTuple):
-    """A group of limits and the split that the home acts on."""
+    """A group of limits and the split that the home acts on.
+
+    A settled claim tells that no data centre acts on another split.
+    """
 
     group: int
     version: int
     digest: bytes
+    settled: bool = False
 
 
 class LeaseRequest(NamedTuple):
-    """A home asks a witness to confirm it for the lease time."""
+    """A home asks a witness to confirm it for the lease time.
+
+    ``data_centre`` is that of the homes the claims are about. Without an
+    endpoint nothing is leased: the request only tells of the split and asks
+    whether another one may still be in use.
+    """
 
     endpoint: str
     vm: str
     incarnation: int
+    data_centre: str
     claims: tuple[LeaseClaim, ...]
 
 
@@ -88,12 +98,14 @@
     """A witness's answer for one group.
 
     ``quiet_ms`` is how long no other holder of the position, and no home of
-    another split of the group, has had a lease of this witness.
+    another split of the group, has had a lease of this witness. ``settled``
+    repeats what a home of the same split told.
     """
 
     group: int
     confirmed: bool
     quiet_ms: Milliseconds = 0
+    settled: bool = False
     superseded: bool = False
 
 
--- a/packages/wagtailline/src/wagtailline/allowance/_plan.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_plan.py
@@ -125,6 +125,10 @@
             )
         return self._own_groups[endpoint]
 
+    def data_centres(self) -> list[str]:
+        """Return the data centres that have positions."""
+        return list(self._positions)
+
     def limits_of(self, group: int) -> list[Limit]:
         """Return the limits of a group."""
         return self._limits.get(group, [])
@@ -207,25 +211,41 @@
         return tuple((local + others)[:_MIN_WITNESSES])
 
     def _digest(self, group: int, data_centre: str) -> bytes:
-        split = []
+        split = self._fractions(group, data_centre)
+        packed = msgpack.packb((split, self._witnesses(group, data_centre)))
+        return blake2b(packed, digest_size=_DIGEST_BYTES).digest()
+
+    def _fractions(self, group: int, data_centre: str) -> list[object]:
+        """Return the split of a group over data centres and local homes."""
+        fractions: list[object] = []
         for limit in sorted(self.limits_of(group)):
             plan = self.limit(limit.name)
-            homes = plan.homes.get(data_centre, {}) if plan else {}
-            split.append(
+            homes = plan.homes if plan else {}
+            local = sorted(homes.get(data_centre, {}).items())
+            fractions.append(
                 (
                     limit.name,
                     [
-                        (
-                            endpoint,
-                            round(share.tokens / limit.burst, _DIGITS),
-                            round(share.rate / limit.rate, _DIGITS),
-                        )
-                        for endpoint, share in sorted(homes.items())
+                        (name, _sum_fraction(shares.values(), limit))
+                        for name, shares in sorted(homes.items())
+                    ],
+                    [
+                        (endpoint, _sum_fraction((share,), limit))
+                        for endpoint, share in local
                     ],
                 )
             )
-        packed = msgpack.packb((split, self._witnesses(group, data_centre)))
-        return blake2b(packed, digest_size=_DIGEST_BYTES).digest()
+        return fractions
+
+
+def _sum_fraction(
+    shares: Iterable[HomeShare], limit: Limit
+) -> tuple[float, float]:
+    """Return the part of the burst and rate, equal in all daemons."""
+    parts = tuple(shares)
+    tokens = sum(share.tokens for share in parts) / limit.burst
+    rate = sum(share.rate for share in parts) / limit.rate
+    return round(tokens, _DIGITS), round(rate, _DIGITS)
 
 
 class PlanCache:
--- a/packages/wagtailline/src/wagtailline/allowance/_service.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_service.py
@@ -55,11 +55,11 @@
         self._random = random
         self._settings = settings
         self._peers = peers
-        self._witness = Witness(clock, settings)
+        self._witness = Witness(plans, clock, settings)
         self._leases = Leases(
             identity, plans, peers, self._witness, stopwatch, settings
         )
-        self._homes = Homes(identity, plans, self._leases, clock, settings)
+        self._homes = Homes(identity, plans, self._leases, stopwatch, settings)
         self._lender = Lender(identity, self._homes, peers, clock, settings)
         self._borrower = Borrower(
             plans, self._lender, stopwatch, random, settings
@@ -83,6 +83,7 @@
         self._borrower.close()
         await asyncio.sleep(0)
         self._lender.close()
+        self._leases.close()
 
     async def acquire(
         self, limit_name: str, timeout_seconds: float
@@ -102,11 +103,11 @@
 
     async def _renew(self) -> float:
         confirmed = await self._leases.renew()
+        self._homes.refresh_all()
         seconds = self._settings.renew_seconds
         return seconds if confirmed else seconds / _EAGERNESS
 
     async def _report(self) -> float:
-        self._homes.refresh_all()
         self._borrower.report()
         return self._settings.report_seconds
 
--- a/packages/wagtailline/src/wagtailline/allowance/_settings.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_settings.py
@@ -21,7 +21,7 @@
     prefetch_seconds: float = 0.1
     report_seconds: float = 0.1
     idle_seconds: float = 0.5
-    request_seconds: float = 0.25
+    request_seconds: float = 0.5
     hedge_seconds: float = 0.02
     suspect_seconds: float = 1
 
