--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Explicit-state specifications of the core protocols, for minicheck."""
