--- a/packages/wagtailline/src/wagtailline/routing/__init__.py
+++ b/packages/wagtailline/src/wagtailline/routing/__init__.py
@@ -3,9 +3,10 @@
 from wagtailline.routing._budget import RetryBudget
 from wagtailline.routing._candidates import Position, key_position
 from wagtailline.routing._matching import RouteIndex
-from wagtailline.routing._router import Handlers, Router
+from wagtailline.routing._router import IDEMPOTENT_METHODS, Handlers, Router
 
 __all__ = (
+    'IDEMPOTENT_METHODS',
     'Handlers',
     'Position',
     'RetryBudget',
