Turn the member table into a membership service

The table kept statements but nothing read the platform's list, probed members or spread changes.

The package reads and merges the lists, spreads statements and doubts by bounded gossip, probes one member a second, compares digests to repair losses, and confirms the own endpoint with a majority of witnesses.

--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
@@ -0,0 +1,310 @@
+"""Many membership services in one process on virtual time."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailline.codec import Codec, Message
+from wagtailline.membership import (
+    MEMBERSHIP_KINDS,
+    Environment,
+    Member,
+    MembershipService,
+    MembershipSettings,
+    MemberTable,
+    Published,
+)
+from wagtailline.ports import (
+    Address,
+    LoopClock,
+    SourceFailure,
+    SourceKeyMissing,
+    SourceReading,
+    SourceUnavailable,
+)
+from wagtailline_lab.network import LinkQuality
+
+_CODEC = Codec(MEMBERSHIP_KINDS)
+_LENGTH_BYTES = 4
+_WALL_OFFSET = 1_800_000_000.0
+_FIRST_PORT = 1
+
+
+class PausableClock(LoopClock):
+    """Clock of a process that can be stopped; time runs on meanwhile."""
+
+    def __init__(self) -> None:
+        """Begin to run, with wall time at a fixed offset."""
+        super().__init__(_WALL_OFFSET)
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def sleep(self, seconds: float) -> None:
+        """Suspend the calling task, at least until the process runs."""
+        await super().sleep(seconds)
+        await self.running.wait()
+
+
+class Lists:
+    """Source of the platform's lists of vms, which a test writes."""
+
+    def __init__(self) -> None:
+        """Begin available, without lists."""
+        self.written: dict[str, bytes] = {}
+        self.available = True
+        self.reads = 0
+
+    async def read(self, key: str) -> Result[SourceReading, SourceFailure]:
+        """Return the list as it was last written."""
+        self.reads += 1
+        if not self.available:
+            return Err(SourceUnavailable('stopped'))
+        if key not in self.written:
+            return Err(SourceKeyMissing(key))
+        return Ok(SourceReading(1, self.written[key]))
+
+    async def watch(
+        self, key: str, after: int, wait_seconds: float
+    ) -> Result[SourceReading | None, SourceFailure]:
+        """Wait in vain; the service reads at intervals."""
+        await asyncio.sleep(wait_seconds)
+        return Ok(None)
+
+    def write(self, data_centre: str, members: list[Member]) -> None:
+        """Replace a list by these members."""
+        self.written[f'vms/{data_centre}'] = json.dumps(
+            [
+                {
+                    'vm': member.vm,
+                    'endpoint': member.endpoint,
+                    'data_centre': member.data_centre,
+                    'host': member.address.host,
+                    'port': member.address.port,
+                    'incarnation': member.incarnation,
+                    'leaving': member.leaving,
+                }
+                for member in members
+            ]
+        ).encode()
+
+
+class Traffic(NamedTuple):
+    """Messages and bytes sent since the start of the fleet."""
+
+    messages: int
+    sent_bytes: int
+
+
+class FleetPeers:
+    """Connections of one process of the fleet."""
+
+    def __init__(self, fleet: 'Fleet', node: 'Node') -> None:
+        """Belong to a node."""
+        self.handlers: dict[type[Message], Callable[[Any], Any]] = {}
+        self._fleet = fleet
+        self._node = node
+
+    async def request(
+        self, endpoint: str, message: Message, timeout_seconds: float
+    ) -> Message | None:
+        """Return the reply, None when there is none in time."""
+        await self._node.clock.running.wait()
+        reply = asyncio.get_running_loop().create_future()
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                self._fleet.carry(self._node, endpoint, message, reply)
+                received: Message = await reply
+                return received
+        except TimeoutError:
+            return None
+
+    async def post(self, endpoint: str, message: Message) -> None:
+        """Send without a reply; a message that cannot be sent is lost."""
+        await self._node.clock.running.wait()
+        self._fleet.carry(self._node, endpoint, message, None)
+
+    def register(
+        self, message_type: type[Message], handler: Callable[[Any], Any]
+    ) -> None:
+        """Answer messages of a type with what the handler returns."""
+        self.handlers[message_type] = handler
+
+
+class Node:
+    """One process of the fleet."""
+
+    def __init__(self, fleet: 'Fleet', member: Member) -> None:
+        """Create the service without starting it."""
+        self.address = member.address
+        self.clock = PausableClock()
+        self.table = MemberTable()
+        self.peers = FleetPeers(fleet, self)
+        self.faults: list[object] = []
+        self.alive = True
+        self.service = MembershipService(
+            member,
+            Environment(
+                self.peers,
+                self.clock,
+                Random(fleet.random.random()),
+                self.table,
+                fleet.settings,
+            ),
+            fleet.lists,
+            Published(fleet.endpoints, fleet.data_centres),
+            lambda _name, fault: self.faults.append(fault),
+        )
+
+    @property
+    def member(self) -> Member:
+        """The latest statement of this process."""
+        return self.service.member
+
+    def pause(self) -> None:
+        """Stop the process while time runs on."""
+        self.clock.running.clear()
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        self.clock.running.set()
+
+    async def receive(self, frame: bytes) -> Message | None:
+        """Run the handler of a message once the process runs."""
+        await self.clock.running.wait()
+        message = _CODEC.decode(frame).unwrap()
+        if not self.alive:
+            return None
+        reply: Message | None = await self.peers.handlers[type(message)](
+            message
+        )
+        return reply
+
+
+class Fleet:
+    """Processes that reach each other unless a test prevents it."""
+
+    def __init__(
+        self,
+        seed: int,
+        quality: LinkQuality | None = None,
+        settings: MembershipSettings | None = None,
+    ) -> None:
+        """Draw everything random from the seed."""
+        self.random = Random(seed)
+        self.quality = quality or LinkQuality()
+        self.settings = settings or MembershipSettings()
+        self.lists = Lists()
+        self.nodes: list[Node] = []
+        self.blocked: Callable[[Node, Node], bool] = _never
+        self.messages = 0
+        self.sent_bytes = 0
+        self._by_address: dict[Address, Node] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def add(self, endpoint: str, data_centre: str = 'dc1') -> Node:
+        """Create the process that now starts at an endpoint."""
+        number = len(self.nodes) + _FIRST_PORT
+        address = Address(f'127.0.{number >> 8}.{number & 255}', 7000)
+        started = int(LoopClock(_WALL_OFFSET).wall() * 1000)
+        member = Member(
+            endpoint, f'vm-{number:05}', data_centre, address, started
+        )
+        node = Node(self, member)
+        self.nodes.append(node)
+        self._by_address[address] = node
+        return node
+
+    async def kill(self, node: Node) -> None:
+        """End a process without notice."""
+        node.alive = False
+        self._by_address.pop(node.address, None)
+        await node.service.stop()
+
+    async def stop(self) -> None:
+        """End every process."""
+        for node in self.nodes:
+            await node.service.stop()
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    def live(self) -> list[Node]:
+        """Return the processes that have not been killed."""
+        return [node for node in self.nodes if node.alive]
+
+    def endpoints(self) -> tuple[str, ...]:
+        """Return the published endpoints, none in this fleet."""
+        return ()
+
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the data centres of all processes."""
+        return tuple(sorted({node.member.data_centre for node in self.nodes}))
+
+    def traffic(self) -> Traffic:
+        """Return what was sent until now."""
+        return Traffic(self.messages, self.sent_bytes)
+
+    def carry(
+        self,
+        sender: Node,
+        endpoint: str,
+        message: Message,
+        reply: asyncio.Future[Message] | None,
+    ) -> None:
+        """Deliver a message to the address that the sender knows."""
+        known = sender.table.find(endpoint)
+        if known is None or not sender.alive:
+            return
+        receiver = self._by_address.get(known.address)
+        frame = self._encode(message)
+        for delay in self._delays(sender, receiver):
+            task = asyncio.ensure_future(
+                self._deliver(sender, receiver, frame, reply, delay)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _deliver(
+        self,
+        sender: Node,
+        receiver: Node | None,
+        frame: bytes,
+        reply: asyncio.Future[Message] | None,
+        delay: float,
+    ) -> None:
+        await asyncio.sleep(delay)
+        if receiver is None or not receiver.alive:
+            return
+        answer = await receiver.receive(frame)
+        if answer is None or reply is None:
+            return
+        returned = self._encode(answer)
+        for back in self._delays(receiver, sender):
+            await asyncio.sleep(back)
+            await sender.clock.running.wait()
+            if not reply.done() and sender.alive:
+                reply.set_result(_CODEC.decode(returned).unwrap())
+
+    def _encode(self, message: Message) -> bytes:
+        frame = _CODEC.encode(message)
+        self.messages += 1
+        self.sent_bytes += len(frame) + _LENGTH_BYTES
+        return frame
+
+    def _delays(self, sender: Node, receiver: Node | None) -> list[float]:
+        if receiver is None or self.blocked(sender, receiver):
+            return []
+        if self.random.random() < self.quality.loss:
+            return []
+        copies = 1 + (self.random.random() < self.quality.duplication)
+        return [
+            self.random.uniform(self.quality.min_delay, self.quality.max_delay)
+            for _ in range(copies)
+        ]
+
+
+def _never(sender: Node, receiver: Node) -> bool:
+    return False
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/__init__.py
@@ -0,0 +1,29 @@
+"""Which vm occupies which endpoint, and which vms are believed to answer."""
+
+from wagtailline.membership._listing import (
+    ListFault,
+    ListMalformed,
+    parse_vm_list,
+)
+from wagtailline.membership._local import Environment
+from wagtailline.membership._members import Member, MemberTable, Standing
+from wagtailline.membership._peers import LinkPeers, PeerRequests
+from wagtailline.membership._service import MembershipService, Published
+from wagtailline.membership._settings import MembershipSettings
+from wagtailline.membership.messages import MEMBERSHIP_KINDS
+
+__all__ = (
+    'MEMBERSHIP_KINDS',
+    'Environment',
+    'LinkPeers',
+    'ListFault',
+    'ListMalformed',
+    'Member',
+    'MemberTable',
+    'MembershipService',
+    'MembershipSettings',
+    'PeerRequests',
+    'Published',
+    'Standing',
+    'parse_vm_list',
+)
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/_lists.py
@@ -0,0 +1,111 @@
+"""Reads the platform's lists of vms and drops members that are long gone."""
+
+from collections.abc import Callable, Sequence
+
+from result import Err, Ok, Result
+
+from wagtailline.membership._listing import (
+    VM_KEY,
+    ListFault,
+    ListMalformed,
+    parse_vm_list,
+)
+from wagtailline.membership._local import LocalMember
+from wagtailline.membership._members import Entry, Member, Standing
+from wagtailline.ports import Source, SourceFailure
+
+ListFailure = SourceFailure | tuple[ListFault, ...]
+ReportFailure = Callable[[str, ListFailure], None]
+# Bounds the probes after one reading of another data centre's list.
+_DOUBTFUL_PER_READING = 8
+
+
+class ListReader:
+    """Merges the lists of the own and the other data centres."""
+
+    def __init__(
+        self, local: LocalMember, source: Source, report: ReportFailure
+    ) -> None:
+        """Report each list that cannot be used."""
+        self._local = local
+        self._source = source
+        self._report = report
+        self._listed: dict[str, dict[str, Member]] = {}
+        self._read_at: dict[str, float] = {}
+        self._unlisted: dict[str, set[str]] = {}
+
+    async def read(self, data_centre: str) -> bool:
+        """Merge one list; tell whether it was readable."""
+        match await self._fetch(data_centre):
+            case Ok(listed):
+                self._merge(data_centre, listed)
+                return True
+            case Err(failure):
+                self._report(data_centre, failure)
+        return False
+
+    def find_doubtful(self, data_centre: str) -> list[str]:
+        """Return answering members that two readings did not list."""
+        listed = self._listed.get(data_centre, {})
+        unlisted = {
+            member.endpoint
+            for member in self._local.table.in_data_centre(data_centre)
+            if member.endpoint not in listed
+        }
+        before = self._unlisted.get(data_centre, set())
+        self._unlisted[data_centre] = unlisted
+        doubtful = sorted(unlisted & before)
+        self._local.environment.random.shuffle(doubtful)
+        return doubtful[:_DOUBTFUL_PER_READING]
+
+    def expire(self) -> None:
+        """Forget members that are gone, and listed ones no longer listed."""
+        table = self._local.table
+        now = self._local.now()
+        for entry in table.entries(Standing.DOWN):
+            if self._is_gone(entry, now - entry.since):
+                table.remove(entry.member.endpoint, now)
+        for entry in table.entries(Standing.LISTED):
+            if not self._is_listed(entry.member):
+                table.remove(entry.member.endpoint, now)
+
+    def is_leaving(self, member: Member) -> bool:
+        """Tell whether the vm or the platform has announced its end."""
+        listed = self._listed.get(member.data_centre, {}).get(member.endpoint)
+        if listed is None or listed.vm != member.vm:
+            return member.leaving
+        return member.leaving or listed.leaving
+
+    async def _fetch(
+        self, data_centre: str
+    ) -> Result[tuple[Member, ...], ListFailure]:
+        answer = await self._source.read(VM_KEY.format(data_centre))
+        if isinstance(answer, Err):
+            return answer
+        try:
+            return parse_vm_list(answer.ok_value.content, data_centre)
+        except RecursionError:
+            return Err((ListMalformed('nested too deeply'),))
+
+    def _merge(self, data_centre: str, listed: Sequence[Member]) -> None:
+        self._listed[data_centre] = {
+            member.endpoint: member for member in listed
+        }
+        self._read_at[data_centre] = self._local.now()
+        self._local.take_listed(listed)
+
+    def _is_listed(self, member: Member) -> bool:
+        return member.endpoint in self._listed.get(member.data_centre, {})
+
+    def _is_gone(self, entry: Entry, silent_seconds: float) -> bool:
+        settings = self._local.environment.settings
+        member = entry.member
+        if silent_seconds > settings.longest_retention:
+            return True
+        if member.leaving and silent_seconds > settings.left_retention:
+            return True
+        # A list from before the silence says nothing about its reason.
+        read_at = self._read_at.get(member.data_centre, float('-inf'))
+        if self._is_listed(member) or read_at < entry.since:
+            return False
+        return silent_seconds > settings.retention
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/_local.py
@@ -0,0 +1,210 @@
+"""This process's own statement, and what it takes from others."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from wagtailline.codec import Message
+from wagtailline.membership._gossip import UpdateQueue
+from wagtailline.membership._members import (
+    Doubt,
+    Member,
+    MemberTable,
+    Standing,
+    holder_order,
+)
+from wagtailline.membership._peers import PeerRequests
+from wagtailline.membership._settings import MembershipSettings
+from wagtailline.membership.messages import News, ScopeDigest
+from wagtailline.ports import Clock
+
+# A doubt this old has reached every member that it can reach, so another
+# member that still counts on the doubted one is asked about by a probe.
+_FRESH_DOUBT_SECONDS = 30.0
+
+
+class Environment(NamedTuple):
+    """The ports and the shared table of the service."""
+
+    peers: PeerRequests
+    clock: Clock
+    random: Random
+    table: MemberTable
+    settings: MembershipSettings
+
+
+class LocalMember:
+    """Own statement, table and queue of one process.
+
+    ``successor`` is the higher incarnation at the own endpoint once one is
+    known; from then on this process takes no part. ``disputed`` are members
+    that others believe to answer and this process does not.
+    """
+
+    def __init__(self, member: Member, environment: Environment) -> None:
+        """Begin with the own statement only."""
+        self.member = member
+        self.successor: Member | None = None
+        self.queue = UpdateQueue(environment.settings)
+        self.disputed: set[str] = set()
+        self.environment = environment
+        self.table = environment.table
+        self.on_change: Callable[[], None] = _ignore
+        self._add_own()
+
+    def now(self) -> float:
+        """Return the time of the monotonic clock in seconds."""
+        return self.environment.clock.monotonic()
+
+    def take_news(self, news: News) -> None:
+        """Keep what is new and pass it on."""
+        for member in news.members:
+            self.take_statement(member)
+        for doubt in news.doubts:
+            self.take_doubt(doubt)
+
+    def take_statement(self, member: Member, *, spread: bool = True) -> bool:
+        """Keep a newer statement of another member; tell whether it was.
+
+        A statement that a comparison has brought is known to most members
+        already and is not spread.
+        """
+        if member.endpoint == self.member.endpoint:
+            self._meet_occupant(member)
+            return False
+        if not self.table.update(member, self.now()):
+            self._dispute(member)
+            return False
+        self.disputed.discard(member.endpoint)
+        if spread:
+            self.queue.add(member)
+        self.on_change()
+        return True
+
+    def take_doubt(self, doubt: Doubt) -> None:
+        """Take part in a doubt, or refute one about this process."""
+        if doubt.endpoint == self.member.endpoint:
+            if doubt.incarnation == self.member.incarnation:
+                self.refute(doubt.sequence)
+            return
+        if self.table.doubt(doubt, self.now()):
+            self.queue.add(doubt)
+
+    def refute(self, sequence: int) -> None:
+        """Make a statement that is newer than the doubted one."""
+        if sequence >= self.member.sequence and self.successor is None:
+            self.state(self.member._replace(sequence=sequence + 1))
+
+    def state(self, member: Member) -> None:
+        """Replace the own statement and pass it on."""
+        self.member = member
+        self._add_own()
+
+    def take_listed(self, listed: Sequence[Member]) -> None:
+        """Merge the platform's list of vms."""
+        for member in listed:
+            if member.endpoint == self.member.endpoint:
+                if member.vm != self.member.vm:
+                    self._meet_occupant(member)
+            elif self.table.list_vm(member, self.now()):
+                self.on_change()
+
+    def scopes(self) -> tuple[ScopeDigest, ...]:
+        """Return the digest of the own data centre and of a random one."""
+        own = self.member.data_centre
+        names = [own]
+        others = [name for name in self.table.data_centres() if name != own]
+        if others:
+            names.append(self.environment.random.choice(others))
+        return tuple(
+            ScopeDigest(name, self.table.digest(name)) for name in names
+        )
+
+    def doubts_about(self, endpoint: str) -> tuple[Doubt, ...]:
+        """Return the doubt that a probed member has to refute, if any."""
+        entry = self.table.entry(endpoint)
+        if entry is None or entry.standing not in {
+            Standing.DOUBTED,
+            Standing.DOWN,
+        }:
+            return ()
+        return (make_doubt(entry.member),)
+
+    def choose(self, count: int, *excluded: str) -> list[str]:
+        """Return random endpoints of the own data centre to speak to."""
+        own = self.member
+        found = [
+            member.endpoint
+            for member in self.table.in_data_centre(own.data_centre)
+            if member.endpoint != own.endpoint
+        ]
+        if len(found) < count:
+            found.extend(self.listed())
+        return [
+            endpoint
+            for endpoint in self._sample(found, count + len(excluded))
+            if endpoint not in excluded
+        ][:count]
+
+    def choose_foreign(self) -> str | None:
+        """Return a random endpoint of a random other data centre."""
+        own = self.member.data_centre
+        others = [name for name in self.table.data_centres() if name != own]
+        random = self.environment.random
+        if others:
+            group = self.table.in_data_centre(random.choice(others))
+            return random.choice(group).endpoint
+        listed = [
+            entry.member.endpoint
+            for entry in self.table.entries(Standing.LISTED)
+            if entry.member.data_centre != own
+        ]
+        return random.choice(listed) if listed else None
+
+    def listed(self) -> list[str]:
+        """Return the endpoints of the own data centre known by list only."""
+        return [
+            entry.member.endpoint
+            for entry in self.table.entries(Standing.LISTED)
+            if entry.member.data_centre == self.member.data_centre
+        ]
+
+    async def post(self, endpoint: str, message: Message) -> None:
+        """Send a message that may be lost."""
+        await self.environment.peers.post(endpoint, message)
+
+    def _sample(self, found: list[str], count: int) -> list[str]:
+        return self.environment.random.sample(found, min(count, len(found)))
+
+    def _meet_occupant(self, member: Member) -> None:
+        highest = self.successor or self.member
+        if holder_order(member) > holder_order(highest):
+            self.successor = member
+            self.table.update(member, self.now())
+            self.queue.add(member)
+            self.on_change()
+
+    def _dispute(self, member: Member) -> None:
+        entry = self.table.entry(member.endpoint)
+        if entry is None or entry.standing is not Standing.DOWN:
+            return
+        if member.sequence < entry.member.sequence:
+            return
+        if self.now() - entry.since > _FRESH_DOUBT_SECONDS:
+            self.disputed.add(member.endpoint)
+        elif not self.queue.holds(member.endpoint):
+            self.queue.add(make_doubt(entry.member))
+
+    def _add_own(self) -> None:
+        self.table.update(self.member, self.now())
+        self.queue.add(self.member)
+        self.on_change()
+
+
+def make_doubt(member: Member) -> Doubt:
+    """Return a doubt about the latest statement of a member."""
+    return Doubt(member.endpoint, member.incarnation, member.sequence)
+
+
+def _ignore() -> None:
+    """Do nothing until the service sets a listener."""
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/_members.py
@@ -0,0 +1,221 @@
+"""Statements of members and the table that holds the latest ones."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from wagtailline.membership._digests import Digests
+from wagtailline.ports import Address
+
+
+class Member(NamedTuple):
+    """One vm's own statement about the endpoint that it occupies.
+
+    ``incarnation`` is its start time in milliseconds since the Unix epoch,
+    ``sequence`` counts its statements since then.
+    """
+
+    endpoint: str
+    vm: str
+    data_centre: str
+    address: Address
+    incarnation: int
+    sequence: int = 0
+    leaving: bool = False
+
+
+class Doubt(NamedTuple):
+    """Some member got no answer from the member with this statement."""
+
+    endpoint: str
+    incarnation: int
+    sequence: int
+
+
+class Standing(Enum):
+    """What is believed of a member.
+
+    A listed one is known from the platform's list only.
+    """
+
+    LISTED = 'listed'
+    ANSWERING = 'answering'
+    DOUBTED = 'doubted'
+    DOWN = 'down'
+
+
+class Entry(NamedTuple):
+    """A member with its standing since a time of the monotonic clock."""
+
+    member: Member
+    standing: Standing
+    since: float
+
+
+class MemberTable:
+    """Latest known statement for each endpoint."""
+
+    def __init__(self) -> None:
+        """Begin without members."""
+        self._entries: dict[str, Entry] = {}
+        self._digests = Digests()
+        self._cache: dict[str, tuple[Member, ...]] = {}
+        self._changed: dict[str, float] = {}
+
+    def update(self, member: Member, now: float = 0) -> bool:
+        """Keep the statement if it is newer; tell whether it was."""
+        known = self._entries.get(member.endpoint)
+        if known is not None and _outranks(known, member):
+            return False
+        self._put(Entry(member, Standing.ANSWERING, now))
+        return True
+
+    def list_vm(self, member: Member, now: float) -> bool:
+        """Keep a vm of the platform's list if it is a newer occupant.
+
+        A vm that is known already gives its own start time, by its clock.
+        """
+        known = self._entries.get(member.endpoint)
+        if known is not None and (
+            known.member.vm == member.vm
+            or holder_order(member) <= holder_order(known.member)
+        ):
+            return False
+        self._put(Entry(member, Standing.LISTED, now))
+        return True
+
+    def doubt(self, doubt: Doubt, now: float) -> bool:
+        """Take a doubt about the latest statement; tell whether it is new."""
+        known = self._entries.get(doubt.endpoint)
+        if known is None or known.standing is not Standing.ANSWERING:
+            return False
+        member = known.member
+        if (doubt.incarnation, doubt.sequence) < (
+            member.incarnation,
+            member.sequence,
+        ):
+            return False
+        self._put(Entry(member, Standing.DOUBTED, now))
+        return True
+
+    def settle(self, doubted_before: float, now: float) -> tuple[Member, ...]:
+        """Return the members whose doubt is older and no longer refutable."""
+        settled = tuple(
+            entry.member
+            for entry in self.entries(Standing.DOUBTED)
+            if entry.since <= doubted_before
+        )
+        for member in settled:
+            self._put(Entry(member, Standing.DOWN, now))
+        return settled
+
+    def remove(self, endpoint: str, now: float = 0) -> None:
+        """Forget the member at an endpoint."""
+        entry = self._entries.pop(endpoint, None)
+        if entry is not None:
+            self._note(entry.member, now)
+
+    def find(self, endpoint: str) -> Member | None:
+        """Return the latest known member at an endpoint, answering or not."""
+        entry = self._entries.get(endpoint)
+        return entry.member if entry is not None else None
+
+    def entry(self, endpoint: str) -> Entry | None:
+        """Return what is believed of the member at an endpoint."""
+        return self._entries.get(endpoint)
+
+    def entries(self, *standings: Standing) -> tuple[Entry, ...]:
+        """Return the entries with one of the standings."""
+        return tuple(
+            entry
+            for entry in self._entries.values()
+            if entry.standing in standings
+        )
+
+    def in_data_centre(self, data_centre: str) -> tuple[Member, ...]:
+        """Return the members of one data centre that are believed to answer.
+
+        The order is that of the first statement of each endpoint.
+        """
+        if not self._cache:
+            self._fill_cache()
+        return self._cache.get(data_centre, ())
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all members that are believed to answer."""
+        if not self._cache:
+            self._fill_cache()
+        return tuple(
+            member for group in self._cache.values() for member in group
+        )
+
+    def data_centres(self) -> tuple[str, ...]:
+        """Return the data centres that have an answering member."""
+        if not self._cache:
+            self._fill_cache()
+        return tuple(self._cache)
+
+    def copy(self) -> 'MemberTable':
+        """Return an independent table with the same entries."""
+        copied = MemberTable()
+        copied._entries = dict(self._entries)
+        copied._digests = self._digests.copy()
+        return copied
+
+    def digest(self, data_centre: str) -> int:
+        """Return the digest of the statements of a data centre."""
+        return self._digests.total(data_centre)
+
+    def prints(self, data_centre: str) -> dict[bytes, str]:
+        """Return the endpoints of a data centre by fingerprint."""
+        return self._digests.prints(data_centre)
+
+    def changed_at(self, data_centre: str) -> float:
+        """Return when an entry of the data centre last changed."""
+        return self._changed.get(data_centre, float('-inf'))
+
+    def _put(self, entry: Entry) -> None:
+        member = entry.member
+        previous = self._entries.get(member.endpoint)
+        self._entries[member.endpoint] = entry
+        self._digests.forget(member.endpoint)
+        if entry.standing in {Standing.ANSWERING, Standing.DOUBTED}:
+            self._digests.hold(member.endpoint, member.data_centre, member)
+        if previous is None or previous != entry:
+            self._note(member, entry.since)
+
+    def _note(self, member: Member, now: float) -> None:
+        if member.endpoint not in self._entries:
+            self._digests.forget(member.endpoint)
+        self._changed[member.data_centre] = now
+        self._cache = {}
+
+    def _fill_cache(self) -> None:
+        groups: dict[str, list[Member]] = {}
+        for entry in self._entries.values():
+            if entry.standing in {Standing.ANSWERING, Standing.DOUBTED}:
+                groups.setdefault(entry.member.data_centre, []).append(
+                    entry.member
+                )
+        self._cache = {name: tuple(group) for name, group in groups.items()}
+
+
+def holder_order(member: Member) -> tuple[int, str]:
+    """Return what decides between two occupants of one endpoint.
+
+    The later start holds it. The name decides between equal start times, so
+    that all members choose the same vm.
+    """
+    return member.incarnation, member.vm
+
+
+def statement_order(member: Member) -> tuple[int, str, int]:
+    """Return the order of the statements about one endpoint."""
+    return member.incarnation, member.vm, member.sequence
+
+
+def _outranks(known: Entry, member: Member) -> bool:
+    if known.standing is Standing.LISTED:
+        if known.member.vm == member.vm:
+            return False
+        return holder_order(known.member) > holder_order(member)
+    return statement_order(known.member) >= statement_order(member)
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/_settings.py
@@ -0,0 +1,50 @@
+"""Times and bounds of the membership service."""
+
+from typing import NamedTuple
+
+
+class MembershipSettings(NamedTuple):
+    """Intervals in seconds and bounds in counts.
+
+    At 745 members a data centre, one probe a second from each member finds
+    a dead one after about a second. Six transmissions of an update leave
+    about 2 of 745 members without it; the comparison of digests in each
+    probe repairs the rest. ``batch`` x ``fanout`` / ``gossip_interval``
+    updates of about 85 bytes a second bound the traffic to about 5 KB/s,
+    also when the whole data centre restarts.
+    """
+
+    probe_interval: float = 1.0
+    probe_timeout: float = 0.5
+    indirect_timeout: float = 0.8
+    indirect_probes: int = 2
+    doubt_grace: float = 2.0
+    gossip_interval: float = 0.2
+    fanout: int = 2
+    batch: int = 6
+    transmissions: int = 6
+    # A longer queue sends less of each update and leaves more to the
+    # comparison of digests, which sends each update once.
+    crowded_queue: int = 64
+    crowded_transmissions: int = 3
+    sync_interval: float = 5.0
+    sync_quiet: float = 2.0
+    sync_batch: int = 256
+    recheck_interval: float = 5.0
+    foreign_interval: float = 10.0
+    pause_limit: float = 1.0
+    confirm_interval: float = 3.0
+    first_confirm_wait: float = 0.25
+    witnesses: int = 5
+    # A witness that has just started has forgotten what it attested, so it
+    # attests nothing while an older confirmation may still be in use.
+    witness_quiet: float = 10.0
+    list_interval: float = 60.0
+    foreign_list_interval: float = 600.0
+    join_timeout: float = 5.0
+    join_peers: int = 3
+    retention: float = 600.0
+    # Without a readable list, members that do not answer are kept for a day,
+    # so that both sides of a long partition still know each other.
+    longest_retention: float = 86_400.0
+    left_retention: float = 30.0
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/membership/messages.py
@@ -0,0 +1,97 @@
+"""Messages of the membership subsystem, kinds 32 to 38."""
+
+from typing import NamedTuple
+
+from wagtailline.codec import Message
+from wagtailline.membership._members import Doubt, Member
+
+
+class News(NamedTuple):
+    """Statements of members and doubts about members, to be passed on."""
+
+    members: tuple[Member, ...] = ()
+    doubts: tuple[Doubt, ...] = ()
+
+
+class ScopeDigest(NamedTuple):
+    """Digest of the statements that the sender holds of a data centre."""
+
+    data_centre: str
+    digest: int
+
+
+class MemberUpdate(NamedTuple):
+    """News for a random member."""
+
+    news: News
+
+
+class MemberProbe(NamedTuple):
+    """Question whether a member answers; ``sender`` is its own statement."""
+
+    sender: Member
+    scopes: tuple[ScopeDigest, ...]
+    news: News
+    request_id: int = 0
+
+
+class MemberReply(NamedTuple):
+    """Answer to a probe with the statement of the member that answers.
+
+    ``holder`` is the higher incarnation at the sender's endpoint, if the
+    answering member knows one. ``attests`` tells that it knows the sender
+    as the holder and has been running long enough to have learned of a
+    higher one.
+    """
+
+    member: Member
+    holder: Member | None
+    attests: bool
+    scopes: tuple[ScopeDigest, ...]
+    news: News
+    request_id: int = 0
+
+
+class IndirectProbe(NamedTuple):
+    """Request to probe a member that does not answer the sender."""
+
+    sender: str
+    target: str
+
+
+class IndirectReply(NamedTuple):
+    """Statement of a member that answered an indirect probe."""
+
+    member: Member
+
+
+class MemberSync(NamedTuple):
+    """Fingerprints of all statements of a data centre that are held."""
+
+    data_centre: str
+    prints: bytes
+    request_id: int = 0
+
+
+class MemberDifference(NamedTuple):
+    """Statements missing at the sender of a MemberSync.
+
+    ``wants`` are the fingerprints that the answering member lacks;
+    ``remaining`` is the number of statements that did not fit.
+    """
+
+    members: tuple[Member, ...]
+    wants: bytes
+    remaining: int
+    request_id: int = 0
+
+
+MEMBERSHIP_KINDS: dict[int, type[Message]] = {
+    32: MemberUpdate,
+    33: MemberProbe,
+    34: MemberReply,
+    35: IndirectProbe,
+    36: IndirectReply,
+    37: MemberSync,
+    38: MemberDifference,
+}
