--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_base.py
@@ -0,0 +1,77 @@
+"""Makes what every service of the daemon is built on."""
+
+import time
+from random import Random, SystemRandom
+from typing import NamedTuple
+
+from wagtailline.admission import ADMISSION_KINDS
+from wagtailline.allowance import ALLOWANCE_KINDS
+from wagtailline.calls import CALL_KINDS
+from wagtailline.codec import Codec
+from wagtailline.kernel import Kernel
+from wagtailline.membership import MEMBERSHIP_KINDS, Member, MemberTable
+from wagtailline.messages import CONNECTION_KINDS
+from wagtailline.peer_requests import ENVELOPE_KINDS
+from wagtailline.ports import Clock, LoopClock
+from wagtailline.snapshot import SnapshotStore
+from wagtailline_daemon.events import EventLog, open_event_log
+from wagtailline_daemon.metrics import Metrics, open_metrics
+from wagtailline_daemon.settings import DaemonSettings
+from wagtailline_daemon.traces import Tracing, open_tracing
+
+_MILLISECONDS = 1000
+
+
+class Base(NamedTuple):
+    """What every service of the daemon is built on."""
+
+    settings: DaemonSettings
+    kernel: Kernel
+    events: EventLog
+    metrics: Metrics
+    tracing: Tracing
+    clock: Clock
+    random: Random
+    store: SnapshotStore
+    member: Member
+    members: MemberTable
+    codec: Codec
+
+
+def build_base(settings: DaemonSettings) -> Base:
+    random = SystemRandom()
+    codec = Codec(
+        {
+            **CONNECTION_KINDS,
+            **ENVELOPE_KINDS,
+            **MEMBERSHIP_KINDS,
+            **ALLOWANCE_KINDS,
+            **ADMISSION_KINDS,
+            **CALL_KINDS,
+        }
+    )
+    return Base(
+        settings=settings,
+        kernel=Kernel(),
+        events=open_event_log(settings.log_level),
+        metrics=open_metrics(settings.statsd_host, settings.statsd_port),
+        tracing=open_tracing(
+            settings.trace_exporter,
+            settings.trace_target,
+            settings.vm,
+            settings.trace_ratio,
+            random,
+        ),
+        clock=LoopClock(),
+        random=random,
+        store=SnapshotStore(),
+        member=Member(
+            endpoint=settings.endpoint,
+            vm=settings.vm,
+            data_centre=settings.data_centre,
+            address=settings.peer_address,
+            incarnation=int(time.time() * _MILLISECONDS),
+        ),
+        members=MemberTable(),
+        codec=codec,
+    )
--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
@@ -0,0 +1,119 @@
+"""Composition root: makes every service of the daemon and wires them."""
+
+from typing import NamedTuple
+
+from wagtailline.ports import Address
+from wagtailline_daemon._compose_base import Base, build_base
+from wagtailline_daemon._compose_calls import CallPath, build_call_path
+from wagtailline_daemon._compose_mesh import Mesh, build_mesh
+from wagtailline_daemon.daemon_events import (
+    DaemonStarted,
+    DaemonStopped,
+    DaemonStopping,
+)
+from wagtailline_daemon.http_server import HttpServer, operator_config
+from wagtailline_daemon.ingress import ingress_config
+from wagtailline_daemon.operator_api import StatusBoard, build_operator_app
+from wagtailline_daemon.settings import DaemonSettings
+
+STOPPING = 'stopping'
+
+
+class Daemon(NamedTuple):
+    """All services of one process, started and stopped together."""
+
+    base: Base
+    mesh: Mesh
+    calls: CallPath
+
+    async def start(self) -> None:
+        """Start every service; raise OSError when a port is taken."""
+        await self.base.kernel.start()
+        settings = self.base.settings
+        self.base.events.info(
+            DaemonStarted(settings.vm, settings.endpoint, settings.http_port)
+        )
+
+    async def stop(self, reason: str) -> None:
+        """Stop as planned: no new work, then finish what is in progress."""
+        events = self.base.events
+        events.info(DaemonStopping(self.base.settings.vm, reason))
+        await self.mesh.membership.leave()
+        self.calls.gate.drain(STOPPING)
+        await self.base.kernel.stop()
+        self.base.tracing.stop()
+        events.info(
+            DaemonStopped(self.base.settings.vm, self.calls.server.in_progress)
+        )
+
+
+def build_daemon(settings: DaemonSettings) -> Daemon:
+    """Make every service of the daemon; nothing runs before its start."""
+    base = build_base(settings)
+    mesh = build_mesh(base)
+    calls = build_call_path(base, mesh)
+    _register(base, mesh, calls)
+    return Daemon(base, mesh, calls)
+
+
+def _register(base: Base, mesh: Mesh, calls: CallPath) -> None:
+    kernel = base.kernel
+    kernel.register('snapshots', base.store)
+    kernel.register('members', base.members)
+    kernel.register('gate', calls.gate)
+    kernel.register('links', mesh.links)
+    kernel.register('peer_requests', mesh.peers)
+    kernel.register('distribution', mesh.distribution)
+    kernel.register('membership', mesh.membership)
+    kernel.register('allowance', mesh.allowance)
+    _register_http(base, mesh, calls)
+
+
+def _register_http(base: Base, mesh: Mesh, calls: CallPath) -> None:
+    settings = base.settings
+    application = build_operator_app(
+        _build_board(base, mesh, calls), base.store, base.members
+    )
+    base.kernel.register(
+        'operator_http',
+        HttpServer(
+            operator_config(application),
+            Address(settings.operator_host, settings.operator_port),
+        ),
+    )
+    base.kernel.register(
+        'ingress_http',
+        HttpServer(
+            ingress_config(calls.ingress, settings.host, settings.http_port),
+            Address(settings.host, settings.http_port),
+        ),
+    )
+
+
+def _build_board(base: Base, mesh: Mesh, calls: CallPath) -> StatusBoard:
+    board = StatusBoard()
+    store, gate = base.store, calls.gate
+    board.add('ready', lambda: store.current is not None)
+    board.add('member', lambda: mesh.membership.member)
+    board.add('version', lambda: store.version)
+    board.add('digest', lambda: store.current.digest if store.current else b'')
+    board.add(
+        'gate',
+        lambda: {
+            'limit': gate.limit,
+            'in_progress': gate.in_progress,
+            'queued': gate.queued,
+            'load': gate.load,
+        },
+    )
+    board.add(
+        'membership',
+        lambda: {
+            'takes_part': mesh.membership.takes_part,
+            'known': len(base.members.members()),
+            'answering': len(
+                mesh.membership.answering(base.settings.data_centre)
+            ),
+        },
+    )
+    return board
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/http_server.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/http_server.py
@@ -13,6 +13,19 @@
 BACKLOG = 1024
 
 
+def operator_config(application: Any) -> uvicorn.Config:
+    """Return the configuration of the server for operators."""
+    return uvicorn.Config(
+        application,
+        http='httptools',
+        ws='none',
+        lifespan='off',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+    )
+
+
 class _QuietServer(uvicorn.Server):
     """Leaves the signals of the process to the daemon."""
 
@@ -29,23 +42,10 @@
     requests and lets requests in progress end.
     """
 
-    def __init__(
-        self, application: Any, address: Address, stop_timeout: float
-    ) -> None:
-        """Serve on the address; ``stop_timeout`` is in seconds."""
+    def __init__(self, config: uvicorn.Config, address: Address) -> None:
+        """Serve on the address."""
         self._address = address
-        self._server = _QuietServer(
-            uvicorn.Config(
-                application,
-                http='httptools',
-                lifespan='off',
-                log_config=None,
-                access_log=False,
-                server_header=False,
-                date_header=False,
-                timeout_graceful_shutdown=int(stop_timeout),
-            )
-        )
+        self._server = _QuietServer(config)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
--- a/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
@@ -8,8 +8,10 @@
 import contextlib
 import json
 import signal
+import socket
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -53,27 +55,31 @@
     """A deployment on loopback addresses."""
 
     def __init__(
-        self, shape: Shape, directory: Path, first_port: int = _FIRST_PORT
+        self, shape: Shape, directory: Path, ports: Sequence[int] = ()
     ) -> None:
-        """Keep published values, settings and logs below the directory."""
+        """Keep published values, settings and logs below the directory.
+
+        Without ports, free ones are taken.
+        """
         self.shape = shape
         self.values = directory / 'values'
         self.platform = Platform(self.values)
         self.members: list[MeshMember] = []
         self.set = make_set(shape)
         self._directory = directory
-        self._first_port = first_port
+        needed = 1 + len(self.set['endpoints']) * _PORTS_PER_DAEMON
+        self._ports = tuple(ports) or find_free_ports(needed)
 
     @property
     def platform_url(self) -> str:
         """Base URL of the platform fake."""
-        return f'http://{HOST}:{self._first_port}'
+        return f'http://{HOST}:{self._ports[0]}'
 
     async def start(self) -> None:
         """Publish the set and start every process."""
         self.publish()
         self._publish_vms()
-        await self.platform.start(HOST, self._first_port)
+        await self.platform.start(HOST, self._ports[0])
         for index, endpoint in enumerate(self.set['endpoints']):
             self.members.append(await self._start_member(index, endpoint))
 
@@ -110,8 +116,8 @@
 
     def ports(self, index: int) -> Ports:
         """Return the ports of the daemon with this index."""
-        first = self._first_port + 1 + index * _PORTS_PER_DAEMON
-        return Ports(first, first + 1, first + 2, first + 3)
+        first = 1 + index * _PORTS_PER_DAEMON
+        return Ports(*self._ports[first : first + _PORTS_PER_DAEMON])
 
     async def start_daemon(self, index: int) -> asyncio.subprocess.Process:
         """Start the daemon of an endpoint from its settings file."""
@@ -188,7 +194,7 @@
             Mesh(
                 shape,
                 _make_directory(Path(name) / shape.name),
-                _FIRST_PORT + index * _PORTS_PER_DEPLOYMENT,
+                _fixed_ports(index),
             )
             for index, shape in enumerate(shapes)
         ]
@@ -235,6 +241,21 @@
     )
 
 
+def find_free_ports(count: int) -> tuple[int, ...]:
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server((HOST, 0)))
+            for _ in range(count)
+        ]
+        return tuple(one.getsockname()[1] for one in sockets)
+
+
+def _fixed_ports(deployment: int) -> range:
+    first = _FIRST_PORT + deployment * _PORTS_PER_DEPLOYMENT
+    return range(first, first + _PORTS_PER_DEPLOYMENT)
+
+
 def _make_directory(path: Path) -> Path:
     path.mkdir(parents=True)
     return path
--- /dev/null
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -0,0 +1,118 @@
+"""Drives the whole path over real processes and sockets."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+from wagtailline_lab.deployments import Shape, key_of
+from wagtailline_lab.mesh import HOST, Mesh
+
+_SHAPE = Shape(
+    name='small',
+    region='north',
+    data_centres=('north1', 'north2'),
+    services={'desk': 2, 'archive': 2},
+    slots=6,
+    connections=20,
+    client_accounts={'studio': (100, 50), 'courier': (100, 50)},
+)
+# Ends a test that hangs; no figure is asserted.
+_GIVE_UP_SECONDS = 60
+
+
+@pytest.fixture
+async def mesh(tmp_path):
+    running = Mesh(_SHAPE, tmp_path)
+    try:
+        async with asyncio.timeout(_GIVE_UP_SECONDS):
+            await running.start()
+            await running.wait_ready()
+            yield running
+    finally:
+        await running.stop()
+
+
+class _Caller:
+    def __init__(self, session, port):
+        self._session = session
+        self._base = f'http://{HOST}:{port}'
+
+    async def send(self, path, account=None, method='GET', **options):
+        headers = options.pop('headers', {})
+        if account is not None:
+            headers['Authorization'] = f'Bearer {key_of(account)}'
+        async with self._session.request(
+            method, self._base + path, headers=headers, **options
+        ) as answer:
+            return answer.status, await answer.read()
+
+    async def until(self, status, path, account):
+        while (await self.send(path, account))[0] != status:
+            await asyncio.sleep(0.1)
+
+
+async def test_change_reaches_calls_without_a_restart(mesh):
+    """Covers publishing, routing, both daemons of a call, withdrawal."""
+    async with aiohttp.ClientSession() as session:
+        caller = _Caller(session, mesh.members[0].ports.http)
+        await caller.until(200, '/desk/1', 'studio')
+        await caller.until(200, '/archive/1', 'studio')
+        status, body = await caller.send('/archive/2?bytes=300000', 'studio')
+        assert (status, len(body)) == (200, 300000)
+        status, body = await caller.send('/archive/2')
+        assert status == 401
+        assert json.loads(body)['executed'] == 'no'
+        _withdraw_key(mesh, 'studio')
+        mesh.set['routes'].append(
+            {'name': 'letters', 'prefix': '/letters', 'service': 'desk'}
+        )
+        mesh.publish()
+        await caller.until(401, '/desk/1', 'studio')
+        await caller.until(200, '/letters/1', 'courier')
+        seen = set().union(
+            *(member.upstream.seen_headers for member in mesh.members)
+        )
+        assert 'authorization' not in seen
+
+
+async def test_planned_stop_cuts_no_call(mesh):
+    """A stopping daemon must finish what it has begun."""
+    async with aiohttp.ClientSession() as session:
+        caller = _Caller(session, mesh.members[0].ports.http)
+        await caller.until(200, '/desk/1', 'studio')
+        large = asyncio.create_task(
+            caller.send('/desk/1?bytes=30000000', 'studio')
+        )
+        while not any(member.upstream.running for member in mesh.members):
+            await asyncio.sleep(0.01)
+        mesh.members[0].process.send_signal(signal.SIGTERM)
+        status, body = await large
+        assert (status, len(body)) == (200, 30_000_000)
+        assert await mesh.members[0].process.wait() == 0
+
+
+async def test_bad_settings_end_with_status_two(tmp_path):
+    """A daemon that starts on bad settings misbehaves later."""
+    path = tmp_path / 'bad.json'
+    path.write_text('{"vm": "vm-1", "http_port": 0}')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'wagtailline_daemon.main',
+        str(path),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 2
+    assert b"'http_port'" in errors
+    assert b"'endpoint'" in errors
+
+
+def _withdraw_key(mesh, account):
+    mesh.set['keys'] = [
+        key for key in mesh.set['keys'] if key['client_account'] != account
+    ]
--- a/packages/wagtailline/src/wagtailline/peers.py
+++ b/packages/wagtailline/src/wagtailline/peers.py
@@ -127,7 +127,8 @@
     def serve_purpose(self, purpose: str, handler: PurposeHandler) -> None:
         """Give accepted connections of another purpose to a handler.
 
-        The handler gets the channel after both sides have sent Hello.
+        The handler gets the channel after the peer's Hello was read, and
+        answers with its own.
         """
         self._purposes[purpose] = handler
 
@@ -176,10 +177,11 @@
         if find_hello_fault(first, None, purposes) is not None:
             return
         peer = cast(Hello, first)
-        await channel.send(make_hello(self.member, peer.purpose))
         if peer.purpose != PURPOSE_CONTROL:
             await self._purposes[peer.purpose](channel, peer)
-        elif self._registry.make_room():
+            return
+        await channel.send(make_hello(self.member, peer.purpose))
+        if self._registry.make_room():
             await self._serve(self._registry.add(channel, peer, dialled=False))
 
     async def _exchange(
