--- a/packages/wagtailline-daemon/tests/test_ingress.py
+++ b/packages/wagtailline-daemon/tests/test_ingress.py
@@ -44,6 +44,7 @@
 
     def __init__(self):
         self.calls = []
+        self.began = asyncio.Event()
         self.cancelled = asyncio.Event()
         self.granted = True
 
@@ -53,6 +54,7 @@
     async def __call__(self, request, body):
         content = b''.join([piece async for piece in body])
         self.calls.append((request, content))
+        self.began.set()
         if 'wait' in request.target:
             try:
                 await asyncio.sleep(60)
@@ -318,8 +320,7 @@
         async with _serve(upstream) as port:
             _, writer = await asyncio.open_connection('127.0.0.1', port)
             writer.write(_GET.replace(b'1 ', b'wait ', 1) + b'\r\n')
-            while not upstream.calls:
-                await asyncio.sleep(0.01)
+            await asyncio.wait_for(upstream.began.wait(), 5)
             writer.close()
             await asyncio.wait_for(upstream.cancelled.wait(), 5)
 
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each module runs by ``python -m``."""
