--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
@@ -137,9 +137,8 @@
     client = await _upstream_client(upstream)
     server = CallServer(client, _hello('far-0'))
     transport = StreamTransport(_codec())
-    port = _free_port()
-    await transport.serve(Address(HOST, port), server.accept)
-    ready.send(port)
+    listener = await transport.serve(Address(HOST, 0), server.accept)
+    ready.send(listener.address.port)
     await asyncio.Event().wait()
 
 
@@ -204,9 +203,3 @@
 
 def _codec() -> Codec:
     return Codec({**CONNECTION_KINDS, **CALL_KINDS})
-
-
-def _free_port() -> int:
-    with socket.create_server((HOST, 0)) as probe:
-        port: int = probe.getsockname()[1]
-    return port
--- /dev/null
+++ b/packages/wagtailline/tests/test_streams.py
@@ -0,0 +1,110 @@
+"""Guards the framing of TCP connections on loopback."""
+
+import asyncio
+from typing import NamedTuple
+
+import pytest
+
+from wagtailline.codec import Codec, MalformedFrame
+from wagtailline.ports import Address, ChannelClosed, DialFailed
+from wagtailline.streams import MAX_FRAME_BYTES, StreamTransport
+
+
+class Note(NamedTuple):
+    content: bytes
+
+
+_CODEC = Codec({16: Note})
+
+
+def _run(scenario):
+    async def serve():
+        faults = []
+        received = asyncio.Queue()
+
+        async def collect(channel):
+            try:
+                while True:
+                    received.put_nowait(await channel.receive())
+            finally:
+                received.put_nowait('end')
+
+        transport = StreamTransport(_CODEC, faults.append)
+        listener = await transport.serve(Address('127.0.0.1', 0), collect)
+        async with asyncio.timeout(10):
+            await scenario(listener.address, transport, received)
+        await listener.close()
+        return faults
+
+    return asyncio.run(serve())
+
+
+def _frame(message):
+    encoded = _CODEC.encode(message)
+    return len(encoded).to_bytes(4, 'big') + encoded
+
+
+def test_frames_survive_any_cut():
+    """TCP delivers any part of a frame, and several frames at once."""
+
+    async def scenario(address, transport, received):
+        notes = [Note(b'a' * size) for size in (0, 1, 300)]
+        data = b''.join(map(_frame, notes))
+        _, writer = await asyncio.open_connection(*address)
+        for index in range(len(data)):
+            writer.write(data[index : index + 1])
+            await asyncio.sleep(0)
+        writer.write(data)
+        assert [await received.get() for _ in range(6)] == notes * 2
+        writer.close()
+        assert await received.get() == 'end'
+
+    assert _run(scenario) == []
+
+
+@pytest.mark.parametrize(
+    'data', [(MAX_FRAME_BYTES + 1).to_bytes(4, 'big'), b'\0\0\0\1\xc1']
+)
+def test_faulty_frame_closes_its_connection(data):
+    """A hostile length must not reserve memory."""
+
+    async def scenario(address, transport, received):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(data)
+        assert await reader.read() == b''
+        assert await received.get() == 'end'
+
+    assert [type(one) for one in _run(scenario)] == [MalformedFrame]
+
+
+def test_sender_waits_for_a_slow_receiver():
+    """Without it the unsent messages would fill the sender's memory."""
+
+    async def scenario(address, transport, received):
+        async def idle(channel):
+            await asyncio.sleep(60)
+
+        listener = await transport.serve(Address('127.0.0.1', 0), idle)
+        channel = await transport.dial(listener.address)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.5):
+                for _ in range(1000):
+                    await channel.send(Note(bytes(100_000)))
+        channel.close()
+        with pytest.raises(ChannelClosed):
+            await channel.send(Note(b''))
+        with pytest.raises(ChannelClosed):
+            await channel.receive()
+        await listener.close()
+
+    _run(scenario)
+
+
+def test_dial_without_a_listener_fails():
+    """Only a failed dial proves that a call was not sent."""
+
+    async def scenario(address, transport, received):
+        with pytest.raises(DialFailed):
+            await transport.dial(Address('127.0.0.1', 1))
+
+    _run(scenario)
