Test single rules of call connections and of routing

Found by the tests and fixed: a connection that was silent since the very moment of a call's start was not replaced after the call's deadline.

--- a/packages/wagtailline/src/wagtailline/calls/_connection.py
+++ b/packages/wagtailline/src/wagtailline/calls/_connection.py
@@ -238,7 +238,7 @@
         A peer whose VM is gone sends no reset, and the transport would
         hold new calls for minutes.
         """
-        if self._received_at < started:
+        if self._received_at <= started:
             self.retire()
 
     def _cancel(self, number: int) -> None:
