Test the upstream client, end bodies that aiohttp leaves waiting

aiohttp 3.14.5 closes the connection at a malformed chunk that arrives apart from the head, but neither ends nor fails the body, so its reader waits for ever (its ClientSession does the same). The exchange now fails the body when its connection ends, and cuts one that stalls for the timeout of the call.

Other guards: an exception of the router becomes a problem document, memory stays bounded while 200 MB stream through the ingress and the upstream client.

--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_server.py
@@ -0,0 +1,34 @@
+"""Configuration of the HTTP server that runs the ingress."""
+
+from typing import Any
+
+import uvicorn
+
+from wagtailline_daemon._ingress_protocol import IngressProtocol
+
+# A new connection costs a caller about 1 ms, so idle ones are kept.
+KEEP_ALIVE_SECONDS = 30
+
+
+def ingress_config(app: Any, host: str, port: int) -> uvicorn.Config:
+    """Return the configuration of the server that runs the ingress.
+
+    Access lines are off because a target may hold what a log must not.
+    """
+    return uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        loop='uvloop',
+        http=IngressProtocol,
+        ws='none',
+        lifespan='off',
+        interface='asgi3',
+        access_log=False,
+        log_config=None,
+        proxy_headers=False,
+        server_header=False,
+        date_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        backlog=1024,
+    )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_upstream_exchange.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_upstream_exchange.py
@@ -7,7 +7,7 @@
 import asyncio
 from contextlib import suppress
 
-from aiohttp import ClientError, StreamReader
+from aiohttp import ClientError, ClientPayloadError, StreamReader
 from aiohttp.connector import Connection
 from aiohttp.http import RawResponseMessage, StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
@@ -30,6 +30,7 @@
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
 _SWITCHING = 101
+_MILLISECONDS = 1000
 
 
 class MalformedAnswer(Exception):
@@ -49,6 +50,7 @@
         self._request = request
         self._writer: asyncio.Task[None] | None = None
         self._truncated = False
+        self._stall_seconds = request.timeout_ms / _MILLISECONDS
         self.began = False
 
     async def run(self, head: RequestHead, body: Body) -> Answer:
@@ -73,9 +75,13 @@
             raise
 
     async def read(self, content: StreamReader) -> bytes:
-        """Return the next part of the body of the answer."""
+        """Return the next part of the body of the answer.
+
+        An upstream that sends nothing for the timeout of the call cuts it.
+        """
         try:
-            return await content.readany()
+            async with asyncio.timeout(self._stall_seconds):
+                return await content.readany()
         except (ClientError, OSError) as problem:
             self.close()
             raise BodyTruncated from problem
@@ -148,6 +154,8 @@
         if length is None and not message.chunked:
             # Its end is the end of the connection, so a cut would look whole.
             raise MalformedAnswer
+        if not content.is_eof():
+            self._watch(content)
         if length is not None and int(length) <= WHOLE_ANSWER_BYTES:
             whole = await content.read()
             self._finish()
@@ -155,6 +163,31 @@
         content.on_eof(self._finish)
         return _AnswerBody(self, content)
 
+    def _watch(self, content: StreamReader) -> None:
+        """Fail the body when the connection ends before it.
+
+        aiohttp closes the connection at a malformed chunk, but leaves the
+        reader of the body waiting.
+        """
+
+        def fail(lost: 'asyncio.Future[None]') -> None:
+            # Reading the exception keeps asyncio from logging it.
+            lost.exception()
+            if not content.is_eof() and content.exception() is None:
+                content.set_exception(ClientPayloadError('connection lost'))
+
+        protocol = self._connection.protocol
+        lost = protocol.closed if protocol is not None else None
+        if lost is None:
+            content.set_exception(ClientPayloadError('connection lost'))
+            return
+        lost.add_done_callback(fail)
+
+        def forget() -> None:
+            lost.remove_done_callback(fail)
+
+        content.on_eof(forget)
+
     def _finish(self) -> None:
         if self._writer is not None and not self._writer.done():
             # The upstream answered without reading the whole request.
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
@@ -5,7 +5,6 @@
 from random import Random
 from typing import Any, Protocol
 
-import uvicorn
 from result import Err, Ok, Result
 
 from wagtailline.calls import (
@@ -20,18 +19,20 @@
 from wagtailline.objects import Route
 from wagtailline.routing import RouteIndex
 from wagtailline.snapshot import Snapshot, SnapshotStore
+from wagtailline_daemon._ingress_answer import (
+    Message,
+    Send,
+    send_answer,
+    send_refusal,
+)
 from wagtailline_daemon._ingress_headers import (
     RequestHeaders,
     digest_key,
-    pass_answer_headers,
     read_headers,
 )
 from wagtailline_daemon._ingress_protocol import IngressProtocol
-from wagtailline_daemon._ingress_refusals import (
-    problem_body,
-    problem_headers,
-    problem_status,
-)
+from wagtailline_daemon._ingress_refusals import problem_status
+from wagtailline_daemon._ingress_server import ingress_config
 from wagtailline_daemon._ingress_target import match_target
 
 __all__ = (
@@ -43,38 +44,14 @@
 )
 
 Scope = MutableMapping[str, Any]
-Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
-Send = Callable[[Message], Awaitable[None]]
-# A new connection costs a caller about 1 ms, so idle ones are kept.
-KEEP_ALIVE_SECONDS = 30
 _MILLISECONDS = 1000
 _BAD_REQUEST = 400
 _TRUNCATED_BY_CALLER = 'body_truncated'
 
 
-def ingress_config(app: Any, host: str, port: int) -> uvicorn.Config:
-    """Return the configuration of the server that runs the ingress.
-
-    Access lines are off because a target may hold what a log must not.
-    """
-    return uvicorn.Config(
-        app,
-        host=host,
-        port=port,
-        loop='uvloop',
-        http=IngressProtocol,
-        ws='none',
-        lifespan='off',
-        interface='asgi3',
-        access_log=False,
-        log_config=None,
-        proxy_headers=False,
-        server_header=False,
-        date_header=False,
-        timeout_keep_alive=KEEP_ALIVE_SECONDS,
-        backlog=1024,
-    )
+def _ignore_error(error: Exception) -> None:
+    """Drop the report when nobody observes errors."""
 
 
 class AllowanceRefusal(Protocol):
@@ -116,8 +93,13 @@
         allowance: Allowance,
         router: CallHandler,
         random: Random,
+        observe_error: Callable[[Exception], None] = _ignore_error,
     ) -> None:
-        """Send admitted requests to the router."""
+        """Send admitted requests to the router.
+
+        ``observe_error`` gets what the router raised instead of returning.
+        """
+        self._observe_error = observe_error
         self._store = store
         self._allowance = allowance
         self._router = router
@@ -141,12 +123,13 @@
             case Ok(admitted):
                 outcome = await self._run(admitted)
             case Err((refusal, status)):
-                return await self._refuse(send, refusal, status)
+                return await send_refusal(send, refusal, status, self._random)
         match outcome:
             case Ok(answer):
-                await _send_answer(send, answer, admitted.request.timeout_ms)
+                await send_answer(send, answer, admitted.request.timeout_ms)
             case Err(refusal):
-                await self._refuse(send, refusal, problem_status(refusal))
+                status = problem_status(refusal)
+                await send_refusal(send, refusal, status, self._random)
 
     def _admit(
         self, scope: Scope, receive: Receive
@@ -208,14 +191,9 @@
             return await self._router(request, admitted.body)
         except BodyTruncated:
             return Err(Refusal(_TRUNCATED_BY_CALLER, 'unknown'))
-
-    async def _refuse(self, send: Send, refusal: Refusal, status: int) -> None:
-        body = problem_body(refusal.reason, status, refusal.executed)
-        headers = problem_headers(
-            body, status, refusal.retry_after_ms, self._random
-        )
-        await _start(send, status, headers)
-        await _finish(send, body)
+        except Exception as error:
+            self._observe_error(error)
+            return Err(Refusal('internal_error', 'unknown'))
 
 
 def _check_scope(scope: Scope) -> str:
@@ -289,56 +267,3 @@
         more = message.get('more_body', False)
         if message['body']:
             yield message['body']
-
-
-async def _send_answer(send: Send, answer: Answer, stall_ms: int) -> None:
-    """Send an answer; one that was cut is left open.
-
-    uvicorn then closes the connection, so that the caller sees the cut.
-    """
-    await _start(send, answer.status, pass_answer_headers(answer.headers))
-    if isinstance(answer.body, WholeBody):
-        return await _finish(send, answer.body.content)
-    try:
-        async for content in answer.body:
-            async with asyncio.timeout(stall_ms / _MILLISECONDS):
-                await send(
-                    {
-                        'type': 'http.response.body',
-                        'body': content,
-                        'more_body': True,
-                    }
-                )
-    except (BodyTruncated, TimeoutError):
-        return None
-    finally:
-        await _close(answer.body)
-    return await _finish(send, b'')
-
-
-async def _start(
-    send: Send, status: int, headers: 'list[Any] | tuple[Any, ...]'
-) -> None:
-    await send(
-        {
-            'type': 'http.response.start',
-            'status': status,
-            'headers': headers,
-        }
-    )
-
-
-async def _finish(send: Send, content: bytes) -> None:
-    await send(
-        {
-            'type': 'http.response.body',
-            'body': content,
-            'more_body': False,
-        }
-    )
-
-
-async def _close(body: Body) -> None:
-    close = getattr(body, 'aclose', None)
-    if close is not None:
-        await close()
--- a/packages/wagtailline-daemon/tests/test_ingress.py
+++ b/packages/wagtailline-daemon/tests/test_ingress.py
@@ -47,11 +47,17 @@
         self.began = asyncio.Event()
         self.cancelled = asyncio.Event()
         self.granted = True
+        self.produced = 0
 
     async def acquire(self, limit_name, timeout_seconds):
         return Ok(None) if self.granted else Err(Exhausted())
 
     async def __call__(self, request, body):
+        if 'stream' in request.target:
+            self.body = body
+            return Ok(Answer(200, (), self._stream()))
+        if 'raise' in request.target:
+            raise ValueError(request.target)
         content = b''.join([piece async for piece in body])
         self.calls.append((request, content))
         self.began.set()
@@ -74,6 +80,11 @@
         )
         return Ok(Answer(200, headers, WholeBody(echo)))
 
+    async def _stream(self):
+        for _ in range(200):
+            self.produced += 1
+            yield bytes(1 << 20)
+
 
 async def _cut_body():
     yield b'part'
@@ -261,6 +272,7 @@
         (_GET.replace(b'/proofs', b'/proofses'), 404, 'no'),
         (_GET.replace(b'/proofs', b'/proofs/refuse'), 503, 'no'),
         (_GET.replace(b'/proofs', b'/proofs/lost'), 502, 'unknown'),
+        (_GET.replace(b'/proofs', b'/proofs/raise'), 502, 'unknown'),
     ],
 )
 def test_refusal_is_a_problem_document(head, status, executed):
@@ -327,6 +339,36 @@
     asyncio.run(scenario())
 
 
+def test_memory_stays_bounded_while_bodies_stream():
+    """200 MB in either direction must wait for the slower side."""
+
+    async def scenario():
+        upstream = Upstream()
+        async with _serve(upstream) as port:
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', port, limit=1 << 20
+            )
+            head = _POST.replace(b'/proofs', b'/proofs/stream')
+            writer.write(head + b'Content-Length: 209715200\r\n\r\n')
+            sent = 0
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    for _ in range(200):
+                        writer.write(bytes(1 << 20))
+                        await writer.drain()
+                        sent += 1
+            ahead = upstream.produced, sent
+            received = len(await reader.readexactly(200 << 20))
+            writer.transport.abort()
+            return ahead, received, upstream.produced
+
+    (produced, sent), received, all_produced = asyncio.run(scenario())
+    # Socket buffers of the kernel hold a few megabytes.
+    assert max(produced, sent) < 32
+    assert received == 200 << 20
+    assert all_produced == 200
+
+
 def test_pipelined_answers_keep_their_order():
     """Answers on one connection belong to requests by order alone."""
     heads = [_GET.replace(b'1 ', b'%d ' % n, 1) + b'\r\n' for n in range(5)]
--- /dev/null
+++ b/packages/wagtailline-daemon/tests/test_upstream_client.py
@@ -0,0 +1,278 @@
+"""Guards the client of the local upstream against faulty upstreams."""
+
+import asyncio
+import contextlib
+
+import pytest
+from result import Err, Ok
+
+from wagtailline.calls import (
+    Answer,
+    BodyTruncated,
+    CallRequest,
+    Refusal,
+    WholeBody,
+)
+from wagtailline.ports import Address
+from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
+
+_OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_LARGE = b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n'
+_CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n'
+
+
+class Upstream:
+    """Sends the given bytes for each request and keeps what it received."""
+
+    def __init__(self, answer, closes=True):
+        self.answer = answer
+        self.closes = closes
+        self.received = b''
+        self.connections = 0
+        self.ended = asyncio.Event()
+        self.sent = 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65536):
+                self.received += data
+                if self.answer is not None:
+                    await self._answer(writer)
+                if self.closes:
+                    break
+        self.ended.set()
+        writer.close()
+
+    async def _answer(self, writer):
+        for index, piece in enumerate(self.answer):
+            if index and len(piece) < 100:
+                # Small pieces have to arrive one by one.
+                await asyncio.sleep(0.02)
+            writer.write(piece)
+            await writer.drain()
+            self.sent += len(piece)
+
+
+def _request(method='GET', target='/', headers=(), timeout_ms=5000):
+    headers = ((b'host', b'mesh'), *headers)
+    return CallRequest(
+        1, 's-0', 'r', 'studio', '', method, target, headers, timeout_ms, 2
+    )
+
+
+def _run(scenario, answer, connections=4, **kwargs):
+    async def main():
+        upstream = Upstream(answer, **kwargs)
+        server = await asyncio.start_server(upstream.serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        address = Address('127.0.0.1', port)
+        client = UpstreamClient(UpstreamSettings(address, connections))
+        await client.start()
+        async with asyncio.timeout(20):
+            found = await scenario(client, upstream)
+        await client.stop()
+        server.close()
+        return found, upstream
+
+    return asyncio.run(main())
+
+
+async def _get(client, upstream):
+    outcome = await client(_request(), WholeBody())
+    if isinstance(outcome, Err):
+        return outcome.err_value
+    try:
+        return b''.join([piece async for piece in outcome.ok_value.body])
+    except BodyTruncated:
+        return 'cut'
+
+
+@pytest.mark.parametrize(
+    ('answer', 'expected'),
+    [
+        ((_OK,), b'ok'),
+        ((b'HTTP/1.1 103 Early Hints\r\n\r\n' + _OK,), b'ok'),
+        ((_CHUNKED, b'0\r\n\r\n'), b'abc'),
+        ((_CHUNKED,), 'cut'),
+        ((_CHUNKED, b'3\r\nabcd\r\n'), 'cut'),
+        (
+            (_CHUNKED + b'zz\r\n',),
+            Refusal('upstream_malformed', 'unknown'),
+        ),
+        ((_LARGE, b'abc'), 'cut'),
+        ((_OK[:-1],), Refusal('upstream_reset', 'unknown')),
+        ((_OK[:20],), Refusal('upstream_reset', 'unknown')),
+        ((), Refusal('upstream_reset', 'unknown')),
+        ((b'SSH-2.0\r\n\r\n',), Refusal('upstream_malformed', 'unknown')),
+        (
+            (b'HTTP/1.1 200 OK\r\n\r\nto the end',),
+            Refusal('upstream_malformed', 'unknown'),
+        ),
+    ],
+)
+def test_truncated_answer_never_looks_whole(answer, expected):
+    """Each way to lose the end of an answer has to show."""
+    found, _ = _run(_get, answer)
+    assert found == expected
+
+
+def test_call_without_a_listener_did_not_run():
+    """Only a call that was not sent may say so."""
+
+    async def scenario(client, upstream):
+        lost = UpstreamClient(UpstreamSettings(Address('127.0.0.1', 1), 4))
+        await lost.start()
+        outcome = await lost(_request(), WholeBody())
+        await lost.stop()
+        return outcome.unwrap_err()
+
+    found, _ = _run(scenario, (_OK,))
+    assert found == Refusal('upstream_unreachable', 'no')
+
+
+def test_deadline_tells_whether_the_call_was_sent():
+    """A call that waits for a connection has surely not run."""
+
+    async def scenario(client, upstream):
+        calls = (
+            client(_request(timeout_ms=300), WholeBody()),
+            client(_request(timeout_ms=100), WholeBody()),
+        )
+        return [one.unwrap_err() for one in await asyncio.gather(*calls)]
+
+    found, _ = _run(scenario, None, connections=1, closes=False)
+    assert found == [Refusal('deadline', 'unknown'), Refusal('deadline', 'no')]
+
+
+def test_call_is_sent_once_when_a_kept_connection_ends():
+    """aiohttp's session repeats idempotent calls by itself."""
+
+    async def scenario(client, upstream):
+        (await client(_request(), WholeBody())).unwrap()
+        upstream.answer, upstream.closes = (), True
+        return await _get(client, upstream)
+
+    found, upstream = _run(scenario, (_OK,), closes=False)
+    assert found == Refusal('upstream_reset', 'unknown')
+    assert upstream.received.count(b'GET / ') == 2
+    assert upstream.connections == 1
+
+
+@pytest.mark.parametrize('headers', [(), ((b'content-length', b'9'),)])
+def test_cut_request_body_looks_cut_to_the_upstream(headers):
+    """An upstream that takes a part for the whole books a wrong order."""
+
+    async def body():
+        yield b'abc'
+        raise BodyTruncated
+
+    async def scenario(client, upstream):
+        outcome = await client(_request('POST', headers=headers), body())
+        await upstream.ended.wait()
+        return outcome.unwrap_err()
+
+    found, upstream = _run(scenario, None, closes=False)
+    assert found == Refusal('body_truncated', 'unknown')
+    _, _, sent = upstream.received.partition(b'\r\n\r\n')
+    assert sent == (b'abc' if headers else b'3\r\nabc\r\n')
+
+
+def test_short_request_body_is_not_passed_as_whole():
+    """Fewer bytes than the length would take in the next request."""
+
+    async def body():
+        yield b'abc'
+
+    async def scenario(client, upstream):
+        request = _request('POST', headers=((b'content-length', b'9'),))
+        return (await client(request, body())).unwrap_err()
+
+    found, _ = _run(scenario, None, closes=False)
+    assert found == Refusal('body_truncated', 'unknown')
+
+
+def test_cancelled_call_ends_its_connection():
+    """The end of the connection is what tells the upstream to stop."""
+
+    async def scenario(client, upstream):
+        task = asyncio.ensure_future(client(_request(), WholeBody()))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await upstream.ended.wait()
+
+    _run(scenario, None, closes=False)
+
+
+def test_abandoned_answer_ends_its_connection():
+    """A connection with an unread answer must not be used again."""
+
+    async def scenario(client, upstream):
+        answer = (await client(_request(), WholeBody())).unwrap()
+        await answer.body.aclose()
+        upstream.answer = (_OK,)
+        return await _get(client, upstream)
+
+    found, upstream = _run(scenario, (_LARGE, b'abc'), closes=False)
+    assert found == b'ok'
+    assert upstream.connections == 2
+
+
+def test_slow_reader_stops_the_upstream():
+    """200 MB of an answer must not gather in the memory."""
+    large = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % (200 << 20)
+    answer = (large, *[bytes(1 << 20)] * 200)
+
+    async def scenario(client, upstream):
+        answer = (await client(_request(), WholeBody())).unwrap()
+        await asyncio.sleep(0.5)
+        sent_ahead = upstream.sent
+        received = 0
+        async for piece in answer.body:
+            received += len(piece)
+        return sent_ahead, received
+
+    (sent_ahead, received), _ = _run(scenario, answer, closes=False)
+    # Socket buffers of the kernel hold a few megabytes.
+    assert sent_ahead < 32 << 20
+    assert received == 200 << 20
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'target': '/ HTTP/1.1\r\nX: '},
+        {'target': '/a b'},
+        {'method': 'GET /x'},
+        {'headers': ((b'x', b'1\r\nY: 2'),)},
+        {'headers': ((b'x\n', b'1'),)},
+        {'headers': ((b'transfer-encoding', b'chunked'),)},
+    ],
+)
+def test_hostile_call_makes_no_second_request(change):
+    """A peer with a fault must not write past its own request."""
+
+    async def scenario(client, upstream):
+        return await client(_request(**change), WholeBody())
+
+    found, upstream = _run(scenario, (_OK,))
+    assert found == Err(Refusal('malformed_call', 'no'))
+    assert upstream.received == b''
+
+
+def test_head_names_account_depth_and_time_left():
+    """The next calls of the chain need the depth and the deadline."""
+
+    async def scenario(client, upstream):
+        headers = ((b'x-a', b'\xc3\xa9'), (b'content-length', b'3'))
+        request = _request('POST', '/p?a=%20&b', headers)
+        return await client(request, WholeBody(b'abc'))
+
+    found, upstream = _run(scenario, (_OK,))
+    assert isinstance(found, Ok)
+    assert isinstance(found.ok_value, Answer)
+    assert upstream.received == (
+        b'POST /p?a=%20&b HTTP/1.1\r\nwagtailline-timeout-ms: 5000\r\n'
+        b'wagtailline-depth: 3\r\nwagtailline-client-account: studio\r\n'
+        b'host: mesh\r\nx-a: \xc3\xa9\r\ncontent-length: 3\r\n\r\nabc'
+    )
