--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/__init__.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each prints a table and a baseline from the same run."""
+"""Benchmarks; each prints a table and is run by ``python -m``."""
