--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/allowance_scenarios.py
@@ -0,0 +1,94 @@
+"""Steps that the tests of the allowance are made of."""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+from typing import Any
+
+from wagtailline.allowance import DEFAULT_SETTINGS, AllowanceSettings
+from wagtailline.objects import Limit
+from wagtailline_lab.allowance_fleet import (
+    FAR,
+    NEAR,
+    Fleet,
+    endpoints_of,
+    make_objects,
+)
+from wagtailline_lab.allowance_peers import Process
+from wagtailline_lab.network import LinkQuality
+
+LIMIT = 'a'
+_SETTLED_SECONDS = 9
+_LIMITS = (Limit(LIMIT, 10, 20, {'dc0': 1}),)
+
+
+async def start_fleet(
+    sizes: Sequence[int] = (4, 4, 4),
+    limits: Sequence[Limit] = _LIMITS,
+    seed: int = 1,
+    settings: AllowanceSettings = DEFAULT_SETTINGS,
+    near: LinkQuality = NEAR,
+    far: LinkQuality = FAR,
+) -> tuple[Fleet, list[Process]]:
+    """Start a fleet and wait until its homes generate tokens."""
+    fleet = Fleet(seed, settings, near=near, far=far)
+    fleet.publish(make_objects(sizes, limits))
+    for endpoint in endpoints_of(fleet.latest):
+        await fleet.start(endpoint)
+    await asyncio.sleep(_SETTLED_SECONDS)
+    return fleet, list(fleet.daemons)
+
+
+async def flood(
+    fleet: Fleet,
+    processes: Iterable[Process],
+    seconds: float,
+    pause: float = 0.01,
+) -> None:
+    """Let every process try to admit a call after each pause."""
+    callers = tuple(processes)
+    for _ in range(round(seconds / pause)):
+        for process in callers:
+            fleet.spawn(process, LIMIT)
+        await asyncio.sleep(pause)
+
+
+async def hoard(fleet: Fleet, process: Process) -> Any:
+    """Let a process take tokens from all homes without spending them."""
+    await fleet.call(process, LIMIT)
+    service: Any = fleet.daemons[process].admission
+    stock = service._borrower._stocks[LIMIT]
+    for _ in range(3):
+        await service._lender.borrow(stock, 8, 1000)
+    if stock.available < 6:
+        raise RuntimeError('the scenario needs tokens that are not spent')
+    return stock
+
+
+def find_homes(fleet: Fleet, processes: Iterable[Process]) -> list[Process]:
+    """Return the homes in the first data centre, by rank."""
+    by_name = {process.endpoint: process for process in processes}
+    service: Any = next(iter(fleet.daemons.values())).admission
+    plan = service._borrower._plans.current()
+    return [by_name[name] for name in plan.limit(LIMIT).homes['dc0']]
+
+
+def without(processes: Iterable[Process], *excluded: Process) -> list[Process]:
+    """Return the processes but the excluded ones."""
+    return [process for process in processes if process not in excluded]
+
+
+def cut_off(fleet: Fleet, island: Iterable[Process]) -> None:
+    """Drop what goes between the island and all other processes."""
+    inside = frozenset(island)
+    fleet.network.blocked = lambda one, other: (
+        (one in inside) != (other in inside)
+    )
+
+
+def check_bound(fleet: Fleet) -> int:
+    """Return the calls admitted; fail when a window holds too many."""
+    admitted = fleet.admitted[LIMIT]
+    excess = fleet.oracle.excess(LIMIT, admitted)
+    if excess:
+        raise AssertionError(f'{float(excess):.3f} calls above the limit')
+    return len(admitted)
