Test a restarted witness by hoarded grants

Cause: the guard of a restarted witness could be removed unseen. Change: the test restarts all witnesses of the position.

--- a/packages/wagtailline/tests/test_allowance.py
+++ b/packages/wagtailline/tests/test_allowance.py
@@ -286,7 +286,7 @@
         home = find_homes(fleet, processes)[0]
         borrower = processes[-1]
         cut_off(fleet, [home, borrower])
-        for process in find_homes(fleet, processes):
+        for process in [one for one in processes if one.data_centre == 'dc0']:
             if process != home:
                 await fleet.kill(process)
             await fleet.start(fleet.latest.find_endpoint(process.endpoint))
