--- /dev/null
+++ b/packages/wagtailline/tests/test_allowance_changes.py
@@ -0,0 +1,229 @@
+"""Guards the bound of an account while its limit, homes or shares change."""
+
+import asyncio
+
+import pytest
+
+from wagtailline.allowance import AllowanceSettings
+from wagtailline.allowance._plan import group_of
+from wagtailline.objects import Endpoint, Limit
+from wagtailline.placement import score
+from wagtailline_lab.allowance_fleet import make_objects
+from wagtailline_lab.allowance_scenarios import (
+    check_bound,
+    cut_off,
+    find_homes,
+    flood,
+    hoard,
+    start_fleet,
+    without,
+)
+from wagtailline_lab.network import LinkQuality
+from wagtailline_lab.simulation import run_simulation
+
+# Borrowers that keep all they get and report nothing of their own accord.
+_HOARD = AllowanceSettings(report_seconds=1000, prefetch_seconds=1e6)
+_HOARD_OF_ONE = _HOARD._replace(tokens_per_home=100)
+
+
+def _publish(fleet, limit, sizes=(4, 4, 4), added=()):
+    return fleet.publish([*make_objects(sizes, [limit]), *added])
+
+
+def test_lowered_limit_cuts_the_grants_held():
+    """Guards tokens that were issued under a higher limit."""
+
+    async def scenario():
+        fleet, processes = await start_fleet(settings=_HOARD)
+        borrower = without(processes, *find_homes(fleet, processes))[0]
+        await hoard(fleet, borrower)
+        _publish(fleet, Limit('a', 5, 5, {'dc0': 1}))
+        fleet.install(processes)
+        await flood(fleet, processes, 0.05, 0.001)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+def test_lowered_limit_does_not_return_the_tokens_it_cut():
+    """Guards the level of a home against tokens that no longer exist."""
+
+    async def scenario():
+        fleet, processes = await start_fleet(settings=_HOARD_OF_ONE)
+        borrower = without(processes, *find_homes(fleet, processes))[0]
+        await hoard(fleet, borrower)
+        _publish(fleet, Limit('a', 5, 5, {'dc0': 1}))
+        fleet.install(processes)
+        await flood(fleet, [borrower], 0.05, 0.001)
+        fleet.daemons[borrower].admission._borrower.report()
+        await asyncio.sleep(0.25)
+        await flood(fleet, processes, 0.05, 0.001)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+def test_grant_in_flight_while_the_limit_is_lowered():
+    """Guards a grant that was issued before and arrives after a change."""
+
+    async def scenario():
+        settings = AllowanceSettings(tokens_per_home=100, request_seconds=9)
+        fleet, processes = await start_fleet(settings=settings)
+        fleet.network.far = LinkQuality(1, 1)
+        for _ in range(20):
+            fleet.spawn(processes[-1], 'a', 5)
+        await asyncio.sleep(1.5)
+        _publish(fleet, Limit('a', 5, 5, {'dc0': 1}))
+        fleet.install(processes)
+        await flood(fleet, processes, 1)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+def test_lowered_rate_counts_from_when_it_is_in_force():
+    """Guards the time between a change and the next look at the bucket."""
+
+    async def scenario():
+        limits = (Limit('a', 200, 20, {'dc0': 1}),)
+        settings = AllowanceSettings(tokens_per_home=100)
+        fleet, processes = await start_fleet(limits=limits, settings=settings)
+        home = find_homes(fleet, processes)[:1]
+        for _ in range(20):
+            await flood(fleet, home, 0.1, 0.001)
+            _publish(fleet, Limit('a', 1, 20, {'dc0': 1}))
+            fleet.install(processes)
+            await asyncio.sleep(0.1)
+            await flood(fleet, home, 0.05, 0.001)
+            _publish(fleet, limits[0])
+            fleet.install(processes)
+            await asyncio.sleep(0.2)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+@pytest.mark.parametrize('rate', (20, 1))
+def test_home_with_an_old_limit_beside_others_with_the_new_one(rate):
+    """Guards a raised and a lowered limit that reach few daemons at first."""
+
+    async def scenario():
+        fleet, processes = await start_fleet()
+        _publish(fleet, Limit('a', rate, 20, {'dc0': 1}))
+        for process in processes:
+            fleet.install([process])
+            await flood(fleet, processes, 0.7)
+        await flood(fleet, processes, 2)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+def test_withdrawn_limit_admits_nothing():
+    """Guards grants and homes of a limit that is no longer published."""
+
+    async def scenario():
+        fleet, processes = await start_fleet()
+        await hoard(fleet, processes[-1])
+        _publish(fleet, Limit('other', 1, 1))
+        fleet.install(processes)
+        before = len(fleet.admitted['a'])
+        await flood(fleet, processes, 1)
+        assert len(fleet.admitted['a']) == before
+        _publish(fleet, Limit('a', 10, 20, {'dc0': 1}))
+        fleet.install(processes)
+        await flood(fleet, processes, 12, 0.05)
+        assert check_bound(fleet) > before
+
+    run_simulation(scenario())
+
+
+@pytest.mark.parametrize('sizes', ((8, 2), (4, 4)))
+def test_new_home_set_while_a_home_keeps_the_old_one(sizes):
+    """Guards against old and new homes that generate the same share."""
+
+    async def scenario():
+        limits = (Limit('a', 10, 4, {'dc0': 1}),)
+        fleet, processes = await start_fleet(sizes, limits)
+        added = _outranking(fleet, find_homes(fleet, processes)[0])
+        _publish(fleet, limits[0], sizes, [added])
+        new = await fleet.start(added)
+        await flood(fleet, [*processes, new], 15, 0.1)
+        before = check_bound(fleet)
+        fleet.install(processes)
+        await flood(fleet, [*processes, new], 10)
+        assert check_bound(fleet) - before >= 0.8 * 10 * 10
+
+    run_simulation(scenario())
+
+
+def test_new_home_waits_for_the_leases_of_the_old_split():
+    """Guards grants given by an old home until its lease ended."""
+
+    async def scenario():
+        limits = (Limit('a', 100, 20, {'dc0': 1}),)
+        fleet, processes = await start_fleet((4, 4), limits, 1, _HOARD_OF_ONE)
+        added = _outranking(fleet, find_homes(fleet, processes)[0])
+        _publish(fleet, limits[0], (4, 4), [added])
+        new = await fleet.start(added)
+        await asyncio.sleep(1.4)
+        await hoard(fleet, processes[-1])
+        await asyncio.sleep(4.9)
+        await flood(fleet, [processes[-1], new], 0.02, 0.001)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+def _outranking(fleet, home):
+    key = f'allowance-{group_of("a")}'
+    name = next(
+        name
+        for name in (f'dc0-n{number}' for number in range(1000))
+        if score(key, name) > score(key, home.endpoint)
+    )
+    return Endpoint(name, 'archive', 'dc0', 6, 120)
+
+
+@pytest.mark.parametrize('restart', (False, True))
+def test_share_moves_while_its_old_data_centre_is_cut_off(restart):
+    """Guards a gaining data centre, also one without any memory."""
+
+    async def scenario():
+        fleet, processes = await start_fleet()
+        losers = [one for one in processes if one.data_centre == 'dc0']
+        others = without(processes, *losers)
+        cut_off(fleet, set(losers))
+        _publish(fleet, Limit('a', 10, 20, {'dc1': 1}))
+        if restart:
+            for process in others:
+                await fleet.kill(process)
+                await fleet.start(fleet.latest.find_endpoint(process.endpoint))
+        else:
+            fleet.install(others)
+        await flood(fleet, list(fleet.daemons), 12, 0.1)
+        before = check_bound(fleet)
+        cut_off(fleet, set())
+        fleet.install(losers)
+        await asyncio.sleep(10)
+        await flood(fleet, list(fleet.daemons), 5, 0.1)
+        assert check_bound(fleet) - before > 40
+
+    run_simulation(scenario())
+
+
+def test_share_moves_while_its_grants_are_out():
+    """Guards the wait for grants of the data centre that loses a share."""
+
+    async def scenario():
+        limits = (Limit('a', 40, 20, {'dc0': 1}),)
+        fleet, processes = await start_fleet(limits=limits, settings=_HOARD)
+        borrower = processes[3]
+        await hoard(fleet, borrower)
+        _publish(fleet, Limit('a', 40, 20, {'dc1': 1}))
+        fleet.install(without(processes, borrower))
+        await asyncio.sleep(4.8)
+        await flood(fleet, processes, 0.05, 0.001)
+        check_bound(fleet)
+
+    run_simulation(scenario())
