Test membership against deaths, partitions, losses and lagging lists

The first run found that other data centres stay unknown until their list is read after up to 10 minutes; the service now reads the list of an unknown data centre at the next visit.

--- a/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
+import looptime
 from result import Err, Ok, Result
 
 from wagtailline.codec import Codec, Message
@@ -32,6 +33,7 @@
 _LENGTH_BYTES = 4
 _WALL_OFFSET = 1_800_000_000.0
 _FIRST_PORT = 1
+_Returned = TypeVar('_Returned')
 
 
 class PausableClock(LoopClock):
@@ -308,3 +310,17 @@
 
 def _never(sender: Node, receiver: Node) -> bool:
     return False
+
+
+def run_fleet(main: Coroutine[Any, Any, _Returned]) -> _Returned:
+    """Run a coroutine on virtual time, for many processes in one loop.
+
+    Without the cycles in which looptime waits for other threads, which a
+    fleet has not, a step of time costs a tenth.
+    """
+    with asyncio.Runner(loop_factory=_new_loop) as runner:
+        return runner.run(main)
+
+
+def _new_loop() -> asyncio.AbstractEventLoop:
+    return looptime.new_event_loop(start=0, noop_cycles=0)
--- a/packages/wagtailline/src/wagtailline/membership/_holding.py
+++ b/packages/wagtailline/src/wagtailline/membership/_holding.py
@@ -6,6 +6,8 @@
 from wagtailline.membership._probing import Prober
 from wagtailline.placement import rank
 
+# A rank over 745 positions takes about a millisecond.
+_WITNESS_SECONDS = 30.0
 Positions = Callable[[], Sequence[str]]
 
 
@@ -57,12 +59,18 @@
         self.first_confirmed: float | None = None
         self.last_confirmed: float | None = None
         self._required_from = float('-inf')
+        self._chosen: list[str] = []
+        self._chosen_until = float('-inf')
 
     def witnesses(self) -> list[str]:
         """Return the endpoints that are asked."""
         own = self._local.member.endpoint
-        others = {name for name in self._positions() if name != own}
-        return rank(own, others)[: self._settings.witnesses]
+        now = self._local.now()
+        if now >= self._chosen_until or not self._chosen:
+            others = {name for name in self._positions() if name != own}
+            self._chosen = rank(own, others)[: self._settings.witnesses]
+            self._chosen_until = now + _WITNESS_SECONDS
+        return self._chosen
 
     def require(self) -> None:
         """Count only confirmations that are asked for from now on."""
--- a/packages/wagtailline/src/wagtailline/membership/_local.py
+++ b/packages/wagtailline/src/wagtailline/membership/_local.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 from wagtailline.codec import Message
 from wagtailline.membership._gossip import UpdateQueue
@@ -21,6 +21,7 @@
 # A doubt this old has reached every member that it can reach, so another
 # member that still counts on the doubted one is asked about by a probe.
 _FRESH_DOUBT_SECONDS = 30.0
+_Drawn = TypeVar('_Drawn')
 
 
 class Environment(NamedTuple):
@@ -123,28 +124,30 @@
     def doubts_about(self, endpoint: str) -> tuple[Doubt, ...]:
         """Return the doubt that a probed member has to refute, if any."""
         entry = self.table.entry(endpoint)
-        if entry is None or entry.standing not in {
-            Standing.DOUBTED,
-            Standing.DOWN,
-        }:
+        if entry is None:
             return ()
-        return (make_doubt(entry.member),)
+        if (
+            entry.standing is Standing.DOUBTED
+            or entry.standing is Standing.DOWN
+        ):
+            return (make_doubt(entry.member),)
+        return ()
 
     def choose(self, count: int, *excluded: str) -> list[str]:
         """Return random endpoints of the own data centre to speak to."""
         own = self.member
+        group = self.table.in_data_centre(own.data_centre)
+        drawn = self._sample(group, count + 1 + len(excluded))
+        skipped = {own.endpoint, *excluded}
         found = [
             member.endpoint
-            for member in self.table.in_data_centre(own.data_centre)
-            if member.endpoint != own.endpoint
+            for member in drawn
+            if member.endpoint not in skipped
         ]
         if len(found) < count:
-            found.extend(self.listed())
-        return [
-            endpoint
-            for endpoint in self._sample(found, count + len(excluded))
-            if endpoint not in excluded
-        ][:count]
+            listed = set(self.listed()) - skipped
+            found.extend(self._sample(sorted(listed), count - len(found)))
+        return found[:count]
 
     def choose_foreign(self) -> str | None:
         """Return a random endpoint of a random other data centre."""
@@ -173,7 +176,7 @@
         """Send a message that may be lost."""
         await self.environment.peers.post(endpoint, message)
 
-    def _sample(self, found: list[str], count: int) -> list[str]:
+    def _sample(self, found: Sequence[_Drawn], count: int) -> list[_Drawn]:
         return self.environment.random.sample(found, min(count, len(found)))
 
     def _meet_occupant(self, member: Member) -> None:
--- a/packages/wagtailline/src/wagtailline/membership/_members.py
+++ b/packages/wagtailline/src/wagtailline/membership/_members.py
@@ -58,8 +58,10 @@
         """Begin without members."""
         self._entries: dict[str, Entry] = {}
         self._digests = Digests()
+        self._answering: dict[str, dict[str, Member]] = {}
         self._cache: dict[str, tuple[Member, ...]] = {}
         self._changed: dict[str, float] = {}
+        self._doubted: dict[str, float] = {}
 
     def update(self, member: Member, now: float = 0) -> bool:
         """Keep the statement if it is newer; tell whether it was."""
@@ -95,14 +97,22 @@
         ):
             return False
         self._put(Entry(member, Standing.DOUBTED, now))
+        self._doubted[doubt.endpoint] = now
         return True
 
     def settle(self, doubted_before: float, now: float) -> tuple[Member, ...]:
         """Return the members whose doubt is older and no longer refutable."""
+        due = [
+            endpoint
+            for endpoint, since in self._doubted.items()
+            if since <= doubted_before
+        ]
+        for endpoint in due:
+            del self._doubted[endpoint]
         settled = tuple(
             entry.member
-            for entry in self.entries(Standing.DOUBTED)
-            if entry.since <= doubted_before
+            for entry in map(self._entries.get, due)
+            if entry is not None and entry.standing is Standing.DOUBTED
         )
         for member in settled:
             self._put(Entry(member, Standing.DOWN, now))
@@ -110,9 +120,7 @@
 
     def remove(self, endpoint: str, now: float = 0) -> None:
         """Forget the member at an endpoint."""
-        entry = self._entries.pop(endpoint, None)
-        if entry is not None:
-            self._note(entry.member, now)
+        self._withdraw(endpoint, now)
 
     def find(self, endpoint: str) -> Member | None:
         """Return the latest known member at an endpoint, answering or not."""
@@ -136,23 +144,23 @@
 
         The order is that of the first statement of each endpoint.
         """
-        if not self._cache:
-            self._fill_cache()
-        return self._cache.get(data_centre, ())
+        cached = self._cache.get(data_centre)
+        if cached is None:
+            cached = tuple(self._answering.get(data_centre, {}).values())
+            self._cache[data_centre] = cached
+        return cached
 
     def members(self) -> tuple[Member, ...]:
         """Return all members that are believed to answer."""
-        if not self._cache:
-            self._fill_cache()
         return tuple(
-            member for group in self._cache.values() for member in group
+            member
+            for group in self._answering.values()
+            for member in group.values()
         )
 
     def data_centres(self) -> tuple[str, ...]:
         """Return the data centres that have an answering member."""
-        if not self._cache:
-            self._fill_cache()
-        return tuple(self._cache)
+        return tuple(name for name, group in self._answering.items() if group)
 
     def copy(self) -> 'MemberTable':
         """Return an independent table with the same entries."""
@@ -175,28 +183,31 @@
 
     def _put(self, entry: Entry) -> None:
         member = entry.member
-        previous = self._entries.get(member.endpoint)
+        self._withdraw(member.endpoint, entry.since)
         self._entries[member.endpoint] = entry
-        self._digests.forget(member.endpoint)
-        if entry.standing in {Standing.ANSWERING, Standing.DOUBTED}:
+        self._changed[member.data_centre] = entry.since
+        if is_answering(entry):
+            group = self._answering.setdefault(member.data_centre, {})
+            group[member.endpoint] = member
+            self._cache.pop(member.data_centre, None)
             self._digests.hold(member.endpoint, member.data_centre, member)
-        if previous is None or previous != entry:
-            self._note(member, entry.since)
-
-    def _note(self, member: Member, now: float) -> None:
-        if member.endpoint not in self._entries:
-            self._digests.forget(member.endpoint)
-        self._changed[member.data_centre] = now
-        self._cache = {}
-
-    def _fill_cache(self) -> None:
-        groups: dict[str, list[Member]] = {}
-        for entry in self._entries.values():
-            if entry.standing in {Standing.ANSWERING, Standing.DOUBTED}:
-                groups.setdefault(entry.member.data_centre, []).append(
-                    entry.member
-                )
-        self._cache = {name: tuple(group) for name, group in groups.items()}
+
+    def _withdraw(self, endpoint: str, now: float) -> None:
+        previous = self._entries.pop(endpoint, None)
+        if previous is None:
+            return
+        data_centre = previous.member.data_centre
+        self._changed[data_centre] = now
+        if is_answering(previous):
+            self._answering[data_centre].pop(endpoint, None)
+            self._cache.pop(data_centre, None)
+            self._digests.forget(endpoint)
+
+
+def is_answering(entry: Entry) -> bool:
+    """Tell whether a member is believed to answer; a doubt is not settled."""
+    standing = entry.standing
+    return standing is Standing.ANSWERING or standing is Standing.DOUBTED
 
 
 def holder_order(member: Member) -> tuple[int, str]:
--- a/packages/wagtailline/src/wagtailline/membership/_service.py
+++ b/packages/wagtailline/src/wagtailline/membership/_service.py
@@ -10,7 +10,7 @@
 from wagtailline.membership._holding import Holding, PauseDetector
 from wagtailline.membership._lists import ListFailure, ListReader
 from wagtailline.membership._local import Environment, LocalMember
-from wagtailline.membership._members import Member, Standing
+from wagtailline.membership._members import Member, Standing, is_answering
 from wagtailline.membership._probing import Prober
 from wagtailline.membership._sync import Synchronizer
 from wagtailline.membership.messages import MemberUpdate
@@ -111,10 +111,7 @@
     def is_answering(self, endpoint: str) -> bool:
         """Tell whether the holder of an endpoint is believed to answer."""
         entry = self._local.table.entry(endpoint)
-        return entry is not None and entry.standing in {
-            Standing.ANSWERING,
-            Standing.DOUBTED,
-        }
+        return entry is not None and is_answering(entry)
 
     def is_leaving(self, endpoint: str) -> bool:
         """Tell whether the holder of an endpoint is about to stop."""
@@ -212,12 +209,21 @@
             self._handlers.compare(target, reply.scopes)
 
     async def _visit(self) -> None:
+        await self._find_foreign()
         target = self._local.choose_foreign()
         if target is not None and self._local.successor is None:
             reply = await self._prober.probe(target)
             if reply is not None:
                 self._handlers.compare(target, reply.scopes)
 
+    async def _find_foreign(self) -> None:
+        # One list at a time; members that are found tell of all the others.
+        known = set(self._local.table.data_centres())
+        unknown = set(self._published.data_centres()) - known
+        if unknown:
+            chosen = self._environment.random.choice(sorted(unknown))
+            await self._lists.read(chosen)
+
     async def _read_own(self) -> None:
         await self._lists.read(self._local.member.data_centre)
 
--- /dev/null
+++ b/packages/wagtailline/tests/membership/test_failures.py
@@ -0,0 +1,218 @@
+"""Guards the view of the members against deaths, partitions and losses."""
+
+import asyncio
+
+import pytest
+
+from wagtailline.membership import MembershipSettings
+from wagtailline_lab.fleet import run_fleet
+from wagtailline_lab.network import LinkQuality
+
+from ._waiting import agree, replace, start_fleet, wait_until, write_lists
+
+_KNOWN_SECONDS = 15.0
+_HALF_KNOWN_SECONDS = 30.0
+_HEALED_SECONDS = 45.0
+
+
+def test_a_paused_predecessor_never_takes_part_again():
+    """A paused vm must not act at an endpoint that was given to another."""
+
+    async def scenario():
+        fleet = await start_fleet(1, 12)
+        old = fleet.nodes[3]
+        assert old.service.takes_part
+        old.pause()
+        await asyncio.sleep(8)
+        new = await replace(fleet, old)
+        await asyncio.sleep(8)
+        old.resume()
+        assert not old.service.takes_part
+        for _ in range(40):
+            await asyncio.sleep(0.25)
+            assert not old.service.takes_part
+        assert old.service.successor.vm == new.member.vm
+        assert new.service.takes_part
+        assert agree(fleet)
+
+    run_fleet(scenario())
+
+
+def test_a_predecessor_that_runs_on_learns_of_its_replacement():
+    """A vm that the platform replaced by mistake still serves callers."""
+
+    async def scenario():
+        fleet = await start_fleet(2, 12)
+        old = fleet.nodes[5]
+        new = await replace(fleet, old)
+        await wait_until(lambda: old.service.successor is not None, 5)
+        assert not old.service.takes_part
+        assert new.service.takes_part
+        await wait_until(lambda: agree(fleet), _KNOWN_SECONDS)
+
+    run_fleet(scenario())
+
+
+def test_a_predecessor_cut_off_from_its_successor_is_told_by_the_list():
+    """Peers on the old side of a partition cannot know the successor."""
+
+    async def scenario():
+        fleet = await start_fleet(3, 8)
+        old, *others = fleet.nodes
+        new = fleet.add(old.member.endpoint)
+        fleet.blocked = lambda one, other: new in (one, other)
+        await new.service.start()
+        write_lists(fleet, [new, *others])
+        settings = MembershipSettings()
+        limit = settings.list_interval * 1.2
+        await wait_until(lambda: old.service.successor is not None, limit)
+        assert not old.service.takes_part
+
+    run_fleet(scenario())
+
+
+def test_a_resumed_process_waits_for_a_majority_of_witnesses():
+    """An isolated process cannot know whether it was replaced."""
+
+    async def scenario():
+        fleet = await start_fleet(4, 12)
+        node = fleet.nodes[0]
+        node.pause()
+        await asyncio.sleep(5)
+        fleet.blocked = lambda one, other: node in (one, other)
+        node.resume()
+        for _ in range(20):
+            await asyncio.sleep(0.25)
+            assert not node.service.takes_part
+        fleet.blocked = lambda one, other: False
+        await wait_until(lambda: node.service.takes_part, 5)
+        await wait_until(lambda: agree(fleet), _KNOWN_SECONDS)
+
+    run_fleet(scenario())
+
+
+@pytest.mark.parametrize(
+    ('divisor', 'seconds'), [(10, _KNOWN_SECONDS), (2, _HALF_KNOWN_SECONDS)]
+)
+@pytest.mark.parametrize('restarted', [False, True])
+def test_mass_death_and_restart_are_known_everywhere(
+    divisor, seconds, restarted
+):
+    """Probes mostly meet dead members, and many statements spread at once."""
+
+    async def scenario():
+        fleet = await start_fleet(5, 30)
+        victims = fleet.random.sample(fleet.nodes, 30 // divisor)
+        for node in victims:
+            await fleet.kill(node)
+        if restarted:
+            await asyncio.sleep(1)
+            await asyncio.gather(*(replace(fleet, node) for node in victims))
+        await wait_until(lambda: agree(fleet), seconds)
+
+    run_fleet(scenario())
+
+
+def test_a_list_that_lags_neither_hides_nor_revives_a_vm():
+    """The list lacks a vm that answers and has one that is dead."""
+
+    async def scenario():
+        fleet = await start_fleet(6, 12)
+        dead, unlisted = fleet.nodes[0], fleet.nodes[1]
+        await fleet.kill(dead)
+        write_lists(
+            fleet, [node for node in fleet.nodes if node is not unlisted]
+        )
+        await wait_until(lambda: agree(fleet), _KNOWN_SECONDS)
+        newcomer = fleet.add('e900')
+        await newcomer.service.start()
+        await wait_until(lambda: agree(fleet), _KNOWN_SECONDS)
+        await asyncio.sleep(300)
+        assert agree(fleet)
+
+    run_fleet(scenario())
+
+
+def test_a_member_that_is_long_gone_is_forgotten():
+    """Entries of replaced endpoints would otherwise grow without bound."""
+
+    async def scenario():
+        fleet = await start_fleet(7, 6)
+        gone = fleet.nodes[2]
+        await fleet.kill(gone)
+        write_lists(fleet, fleet.live())
+        settings = MembershipSettings()
+        await asyncio.sleep(settings.retention + 2 * settings.list_interval)
+        for node in fleet.live():
+            assert node.table.find(gone.member.endpoint) is None
+
+    run_fleet(scenario())
+
+
+def test_a_partition_heals_without_restarts():
+    """Each side takes the other for dead and must ask again."""
+
+    async def scenario():
+        fleet = await start_fleet(8, 20)
+        left = set(fleet.nodes[:8])
+        right = [node for node in fleet.nodes if node not in left]
+        fleet.blocked = lambda one, other: (one in left) != (other in left)
+        await wait_until(
+            lambda: agree(fleet, list(left)) and agree(fleet, right),
+            _HALF_KNOWN_SECONDS,
+        )
+        await asyncio.sleep(120)
+        fleet.blocked = lambda one, other: False
+        await wait_until(lambda: agree(fleet), _HEALED_SECONDS)
+
+    run_fleet(scenario())
+
+
+def test_lost_duplicated_and_reordered_messages_only_delay():
+    """Old statements arrive after new ones, and some never arrive."""
+    quality = LinkQuality(0.001, 0.3, loss=0.1, duplication=0.2)
+
+    async def scenario():
+        fleet = await start_fleet(9, 15)
+        fleet.quality = quality
+        await fleet.kill(fleet.nodes[4])
+        await replace(fleet, fleet.nodes[7])
+        await fleet.kill(fleet.nodes[7])
+        await asyncio.sleep(30)
+        fleet.quality = LinkQuality()
+        await wait_until(lambda: agree(fleet), _KNOWN_SECONDS)
+
+    run_fleet(scenario())
+
+
+def test_leaving_is_announced_and_soon_forgotten():
+    """Senders have to stop before the process does."""
+
+    async def scenario():
+        fleet = await start_fleet(10, 10)
+        leaver, *others = fleet.nodes
+        endpoint = leaver.member.endpoint
+        await leaver.service.leave()
+        await wait_until(
+            lambda: all(one.service.is_leaving(endpoint) for one in others), 5
+        )
+        await fleet.kill(leaver)
+        # A vm that is still listed is kept as listed, not as answering.
+        write_lists(fleet, others)
+        await asyncio.sleep(60)
+        assert all(one.table.find(endpoint) is None for one in others)
+
+    run_fleet(scenario())
+
+
+def test_changes_reach_other_data_centres():
+    """Senders spill over to data centres that they do not probe."""
+
+    async def scenario():
+        fleet = await start_fleet(11, 18, data_centres=('a', 'b', 'c'))
+        await fleet.kill(fleet.nodes[0])
+        await replace(fleet, fleet.nodes[1])
+        await fleet.kill(fleet.nodes[1])
+        await wait_until(lambda: agree(fleet), _HALF_KNOWN_SECONDS)
+
+    run_fleet(scenario())
--- /dev/null
+++ b/packages/wagtailline/tests/membership/test_machine.py
@@ -0,0 +1,158 @@
+"""Random faults against a simple oracle, on virtual time."""
+
+import asyncio
+
+import hypothesis.strategies as st
+import looptime
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from wagtailline_lab.fleet import Fleet, Node
+from wagtailline_lab.network import LinkQuality
+
+from ._waiting import agree, holders, wait_until, write_lists
+
+_SIZE = 6
+_CONVERGED_SECONDS = 60.0
+_QUALITIES = (
+    LinkQuality(),
+    LinkQuality(0.001, 0.2, loss=0.05, duplication=0.2),
+)
+_indices = st.integers(0, _SIZE - 1)
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """The oracle is the list of processes that the rules have started.
+
+    Guards against a member that returns to an older occupant of an endpoint,
+    and against members that do not find each other after the last fault.
+    """
+
+    @initialize(seed=st.integers(0, 2**16), quality=st.sampled_from(_QUALITIES))
+    def begin(self, seed, quality):
+        self.runner = asyncio.Runner(
+            loop_factory=lambda: looptime.new_event_loop(start=0, noop_cycles=0)
+        )
+        self.seen: dict[tuple[Node, str], tuple[int, str]] = {}
+        self.runner.run(self._start(seed, quality))
+
+    async def _start(self, seed, quality):
+        self.fleet = Fleet(seed, quality)
+        for index in range(_SIZE):
+            self.fleet.add(f'e{index}')
+        write_lists(self.fleet, self.fleet.nodes)
+        await self._launch(self.fleet.nodes)
+        await asyncio.sleep(5)
+
+    async def _launch(self, nodes):
+        await asyncio.gather(*(node.service.start() for node in nodes))
+
+    def _latest(self, index) -> Node:
+        own = [
+            node
+            for node in self.fleet.nodes
+            if node.member.endpoint == f'e{index}'
+        ]
+        return own[-1]
+
+    @rule(seconds=st.sampled_from((0.3, 2.0, 9.0, 40.0)))
+    def advance(self, seconds):
+        self.runner.run(asyncio.sleep(seconds))
+
+    @rule(index=_indices)
+    def kill(self, index):
+        self.runner.run(self.fleet.kill(self._latest(index)))
+
+    @rule(index=_indices, dies=st.booleans())
+    def replace(self, index, dies):
+        async def change():
+            if dies:
+                await self.fleet.kill(self._latest(index))
+            # Incarnations are milliseconds and differ between occupants.
+            await asyncio.sleep(0.01)
+            await self._launch([self.fleet.add(f'e{index}')])
+
+        self.runner.run(change())
+
+    @rule(index=_indices)
+    def pause(self, index):
+        self._latest(index).pause()
+
+    @rule()
+    def resume(self):
+        for node in self.fleet.nodes:
+            node.resume()
+
+    @rule(indices=st.sets(_indices))
+    def partition(self, indices):
+        apart = {f'e{index}' for index in indices}
+        self.fleet.blocked = lambda one, other: (
+            (one.member.endpoint in apart) != (other.member.endpoint in apart)
+        )
+
+    @rule()
+    def heal(self):
+        self.fleet.blocked = lambda one, other: False
+
+    @rule(available=st.booleans())
+    def publish(self, available):
+        self.fleet.lists.available = available
+        write_lists(self.fleet, list(holders(self.fleet).values()))
+
+    @invariant()
+    def no_member_returns_to_an_older_occupant(self):
+        for node in self.fleet.live():
+            for member in node.table.members():
+                order = (member.incarnation, member.vm)
+                place = (node, member.endpoint)
+                assert self.seen.get(place, order) <= order
+                self.seen[place] = order
+
+    @invariant()
+    def a_process_that_knows_its_successor_takes_no_part(self):
+        for node in self.fleet.live():
+            known = node.table.find(node.member.endpoint)
+            if known is not None and known.vm != node.member.vm:
+                assert not node.service.takes_part
+
+    def teardown(self):
+        if not hasattr(self, 'fleet'):
+            return
+        try:
+            self.runner.run(self._converge())
+        finally:
+            self.runner.run(self.fleet.stop())
+            self.runner.close()
+
+    async def _converge(self):
+        self.fleet.blocked = lambda one, other: False
+        self.fleet.quality = LinkQuality()
+        self.fleet.lists.available = True
+        for node in self.fleet.nodes:
+            node.resume()
+        write_lists(self.fleet, list(holders(self.fleet).values()))
+        await wait_until(
+            lambda: agree(self.fleet) and self._fenced(), _CONVERGED_SECONDS
+        )
+
+    def _fenced(self) -> bool:
+        latest = holders(self.fleet)
+        return all(
+            node.service.takes_part == (latest[node.member.endpoint] is node)
+            for node in self.fleet.live()
+        )
+
+
+TestMembership = MembershipMachine.TestCase
+TestMembership.settings = settings(
+    max_examples=30,
+    stateful_step_count=14,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
