--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -87,7 +87,9 @@
         large = asyncio.create_task(
             caller.send('/desk/1?bytes=30000000', 'studio')
         )
-        while not any(member.upstream.running for member in mesh.members):
+        while not any(  # noqa: ASYNC110
+            member.upstream.running for member in mesh.members
+        ):
             await asyncio.sleep(0.01)
         mesh.members[0].process.send_signal(signal.SIGTERM)
         status, body = await large
