Add a first version of the distribution

Change: readers by rank with a capped, backed-off source task; relays along interval trees; anti-entropy; fetch by deltas, then buckets; join and confirmation; aggregated acknowledgements and the fleet report. The head lists packs of buckets, so that a reader loads a set with four calls.

--- a/packages/wagtailline/src/wagtailline/_release.py
+++ b/packages/wagtailline/src/wagtailline/_release.py
@@ -13,6 +13,7 @@
 
 from wagtailline._release_limits import (
     BUCKET_COUNT,
+    BUCKETS_PER_PACK,
     DIGEST_BYTES,
     EMPTY_DIGEST,
     MAX_EARLIER_DELTA_BYTES,
@@ -100,6 +101,7 @@
     encoded = split_buckets(objects)
     digests = tuple(digest_content(content) for content in encoded)
     delta = make_delta(parent, parent_objects, objects, digest_set(digests))
+    packs = _pack_buckets(encoded)
     inline = delta if _fits_inline(delta) else None
     head = Head(
         version=parent.version + 1 if parent else 1,
@@ -108,6 +110,7 @@
         buckets=digests,
         delta=inline,
         earlier=_earlier_deltas(parent) if parent and inline else (),
+        packs=tuple(packs),
     )
     oversized = tuple(
         ValueTooLarge(bucket_key(digest), len(content))
@@ -116,7 +119,22 @@
     )
     if oversized:
         return Err(oversized)
-    return Ok(Release(head, dict(zip(digests, encoded, strict=True))))
+    held = dict(zip(digests, encoded, strict=True))
+    return Ok(Release(head, held | packs))
+
+
+def decode_pack(
+    content: bytes, digest: bytes
+) -> Result[dict[bytes, bytes], ReleaseFailure]:
+    """Return the buckets of a pack by digest."""
+    found = digest_content(content)
+    if found != digest:
+        return Err(DigestMismatch(digest, found))
+    try:
+        buckets = msgspec.convert(msgpack.unpackb(content), tuple[bytes, ...])
+    except (ValueError, msgspec.ValidationError) as problem:
+        return Err(MalformedContent(str(problem)))
+    return Ok({digest_content(bucket): bucket for bucket in buckets})
 
 
 def make_delta(
@@ -195,3 +213,14 @@
             break
         kept.append(delta)
     return tuple(reversed(kept))
+
+
+def _pack_buckets(encoded: list[bytes]) -> dict[bytes, bytes]:
+    packs = [
+        msgpack.packb(encoded[start : start + BUCKETS_PER_PACK])
+        for start in range(0, BUCKET_COUNT, BUCKETS_PER_PACK)
+    ]
+    # A set beyond the size of a value is fetched bucket by bucket.
+    if max(map(len, packs)) > MAX_VALUE_BYTES:
+        return {}
+    return {digest_content(pack): pack for pack in packs}
--- a/packages/wagtailline/src/wagtailline/_release_types.py
+++ b/packages/wagtailline/src/wagtailline/_release_types.py
@@ -20,7 +20,8 @@
 class Head(NamedTuple):
     """Names a version and the digests of its buckets.
 
-    ``earlier`` are the deltas that lead to the parent, oldest first.
+    ``earlier`` are the deltas that lead to the parent, oldest first. ``packs``
+    are the digests of values that hold many buckets each, in order.
     """
 
     version: int
@@ -29,10 +30,11 @@
     buckets: tuple[bytes, ...]
     delta: Delta | None = None
     earlier: tuple[Delta, ...] = ()
+    packs: tuple[bytes, ...] = ()
 
 
 class Release(NamedTuple):
-    """A head and its encoded buckets by digest."""
+    """A head, and its encoded buckets and packs by digest."""
 
     head: Head
     buckets: Mapping[bytes, bytes]
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/__init__.py
@@ -0,0 +1,36 @@
+"""Distribution of published versions from the source to every process."""
+
+from wagtailline.distribution._join import NotConfirmed
+from wagtailline.distribution._report import DataCentreReport, FleetReport
+from wagtailline.distribution._service import Distribution
+from wagtailline.distribution._versions import (
+    ChainBroken,
+    VersionForked,
+    VersionNotNewer,
+    VersionRefusal,
+    VersionRejected,
+)
+from wagtailline.distribution.messages import (
+    DISTRIBUTION_KINDS,
+    KeptOut,
+    Laggard,
+    VersionName,
+)
+from wagtailline.distribution.settings import DistributionSettings
+
+__all__ = (
+    'DISTRIBUTION_KINDS',
+    'ChainBroken',
+    'DataCentreReport',
+    'Distribution',
+    'DistributionSettings',
+    'FleetReport',
+    'KeptOut',
+    'Laggard',
+    'NotConfirmed',
+    'VersionForked',
+    'VersionName',
+    'VersionNotNewer',
+    'VersionRefusal',
+    'VersionRejected',
+)
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/_catch_up.py
@@ -0,0 +1,156 @@
+"""Fetches the newest known version from peers that hold it."""
+
+import asyncio
+from typing import NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+
+from wagtailline.codec import Message
+from wagtailline.distribution._election import Surroundings
+from wagtailline.distribution.messages import (
+    BucketReply,
+    BucketRequest,
+    DeltaReply,
+    DeltaRequest,
+    HeadReply,
+    HeadRequest,
+    VersionName,
+)
+from wagtailline.peers import PeerFailure
+from wagtailline.release import Head, digest_content, missing_buckets
+
+MAX_OFFERS = 16
+MAX_TRIES = 5
+# First pause after a peer could not help; doubles with each try.
+RETRY_SECONDS = 0.05
+# 64 buckets of a set of 8,200 endpoints are about 170 KB.
+BUCKETS_PER_REQUEST = 64
+
+
+_Reply = TypeVar('_Reply')
+
+
+class _Offer(NamedTuple):
+    name: VersionName
+    tries: int = 0
+
+
+class CatchUp:
+    """One task that works through the offers of newer versions."""
+
+    def __init__(self, around: Surroundings) -> None:
+        """Begin without offers."""
+        self._around = around
+        self._offers: dict[str, _Offer] = {}
+        self._fetched: dict[bytes, bytes] = {}
+        self._wake = asyncio.Event()
+
+    def offer(self, endpoint: str, name: VersionName) -> None:
+        """Note that a peer holds a version that is wanted."""
+        known = self._offers.get(endpoint)
+        if known is not None and known.name.version >= name.version:
+            return
+        if len(self._offers) < MAX_OFFERS or known is not None:
+            self._offers[endpoint] = _Offer(name)
+            self._wake.set()
+
+    async def work(self) -> None:
+        """Fetch whenever there is an offer; never ends."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while True:
+                endpoint = self._choose()
+                if endpoint is None:
+                    break
+                await self._fetch(endpoint)
+                await self._settle(endpoint)
+
+    def _choose(self) -> str | None:
+        versions = self._around.versions
+        self._offers = {
+            endpoint: offer
+            for endpoint, offer in self._offers.items()
+            if versions.is_wanted(offer.name) and offer.tries < MAX_TRIES
+        }
+        newest = max(
+            (offer.name.version for offer in self._offers.values()), default=0
+        )
+        holders = [
+            endpoint
+            for endpoint, offer in self._offers.items()
+            if offer.name.version == newest
+        ]
+        return self._around.random.choice(holders) if holders else None
+
+    async def _settle(self, endpoint: str) -> None:
+        offer = self._offers.get(endpoint)
+        if offer is None or not self._around.versions.is_wanted(offer.name):
+            return
+        self._offers[endpoint] = offer._replace(tries=offer.tries + 1)
+        longest = RETRY_SECONDS * 2**offer.tries
+        await self._around.clock.sleep(
+            self._around.random.uniform(longest / 2, longest)
+        )
+
+    async def _fetch(self, endpoint: str) -> None:
+        versions = self._around.versions
+        request = DeltaRequest(versions.held.digest)
+        match await self._ask(endpoint, request, DeltaReply):
+            case Ok(reply):
+                accepted = versions.accept_deltas(reply.deltas)
+                if accepted.is_err() and versions.is_wanted(reply.version):
+                    await self._fetch_buckets(endpoint)
+                versions.observe(reply.version)
+            case Err(_):
+                self._around.topology.suspect(endpoint)
+                self._offers.pop(endpoint, None)
+
+    async def _fetch_buckets(self, endpoint: str) -> None:
+        replied = await self._ask(endpoint, HeadRequest(), HeadReply)
+        if isinstance(replied, Err):
+            return
+        reply = replied.ok_value
+        if reply.retry_after_ms:
+            await self._around.clock.sleep(
+                reply.retry_after_ms / 1000 * self._around.random.random()
+            )
+            return
+        name = reply.version
+        head = Head(name.version, b'', name.digest, reply.buckets)
+        if not self._around.versions.is_wanted(name):
+            return
+        if await self._load(endpoint, head):
+            self._around.versions.accept_buckets(head, self._fetched)
+            self._fetched = {}
+
+    async def _load(self, endpoint: str, head: Head) -> bool:
+        missing = [
+            digest
+            for digest in missing_buckets(self._around.versions.held, head)
+            if digest not in self._fetched
+        ]
+        for start in range(0, len(missing), BUCKETS_PER_REQUEST):
+            wanted = tuple(missing[start : start + BUCKETS_PER_REQUEST])
+            request = BucketRequest(wanted)
+            match await self._ask(endpoint, request, BucketReply):
+                case Ok(reply):
+                    self._keep(reply.buckets, wanted)
+                case Err(_):
+                    return False
+        return all(digest in self._fetched for digest in missing)
+
+    def _keep(
+        self, buckets: tuple[bytes, ...], wanted: tuple[bytes, ...]
+    ) -> None:
+        for content in buckets:
+            digest = digest_content(content)
+            if digest in wanted:
+                self._fetched[digest] = content
+
+    async def _ask(
+        self, endpoint: str, request: Message, reply: type[_Reply]
+    ) -> Result[_Reply, PeerFailure]:
+        return await self._around.links.request(
+            endpoint, request, reply, self._around.settings.transfer_seconds
+        )
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/_join.py
@@ -0,0 +1,176 @@
+"""Joining with nothing, and confirming the version after a pause."""
+
+import asyncio
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailline.distribution._election import Election, Surroundings
+from wagtailline.distribution._gossip import Gossip
+from wagtailline.distribution._serving import Serving
+from wagtailline.distribution._source_reader import SourceReader
+from wagtailline.distribution.messages import VersionName, VersionReply
+
+NEAR_PARTIES = 3
+TICK_SECONDS = 0.25
+_POLL_SECONDS = 0.05
+
+
+class NotConfirmed(NamedTuple):
+    """The version could not be confirmed in the time, in seconds."""
+
+    seconds: float
+
+
+class Readiness:
+    """Tells whether the snapshot in force may be relied on."""
+
+    def __init__(
+        self,
+        around: Surroundings,
+        election: Election,
+        gossip: Gossip,
+        serving: Serving,
+        reader: SourceReader,
+    ) -> None:
+        """Begin as a process that has not joined."""
+        self._around = around
+        self._election = election
+        self._gossip = gossip
+        self._serving = serving
+        self._reader = reader
+        self._ticked = around.clock.monotonic()
+        self._settled = asyncio.Event()
+        self._newest: VersionName | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the process has joined and was not paused since."""
+        gap = self._around.clock.monotonic() - self._ticked
+        return self._settled.is_set() and not self._is_pause(gap)
+
+    async def wait(self, seconds: float) -> Result[None, NotConfirmed]:
+        """Wait until ready, at most the given time."""
+        try:
+            async with asyncio.timeout(seconds):
+                while not self.is_ready:
+                    await self._around.clock.sleep(_POLL_SECONDS)
+        except TimeoutError:
+            return Err(NotConfirmed(seconds))
+        return Ok(None)
+
+    async def join(self) -> None:
+        """Ask around until the newest version is in force."""
+        clock, settings = self._around.clock, self._around.settings
+        started = clock.monotonic()
+        rounds = 0
+        while not self._settled.is_set():
+            answers = await self._ask_round()
+            waited = clock.monotonic() - started
+            is_everyone = bool(answers) and all(
+                answer is not None and answer.ready for answer in answers
+            )
+            if self._election.is_reader:
+                is_everyone = is_everyone and self._reader.answered_at > started
+            is_anyone = any(answers) or self._reader.answered_at > started
+            is_late = waited >= settings.join_seconds
+            if is_everyone or (is_anyone and is_late):
+                await self._settle(started)
+            await self._back_off(rounds)
+            rounds += 1
+
+    async def watch_pauses(self) -> None:
+        """Withdraw readiness after a pause until confirmed; never ends."""
+        clock = self._around.clock
+        while True:
+            self._ticked = clock.monotonic()
+            await clock.sleep(TICK_SECONDS)
+            gap = clock.monotonic() - self._ticked
+            if self._is_pause(gap) and self._settled.is_set():
+                self._change(is_ready=False)
+                self._ticked = clock.monotonic()
+                await self._confirm()
+
+    def _is_pause(self, gap: float) -> bool:
+        return gap > TICK_SECONDS + self._around.settings.pause_seconds
+
+    async def _confirm(self) -> None:
+        resumed_ms = int(self._around.clock.wall() * 1000)
+        rounds = 0
+        while not self._settled.is_set():
+            answers = await self._ask_round()
+            is_by_source = self._around.versions.name.confirmed_ms >= resumed_ms
+            is_by_peer = any(
+                answer is not None and answer.ready for answer in answers
+            )
+            self._ticked = self._around.clock.monotonic()
+            if (is_by_peer or is_by_source) and not self._is_behind():
+                self._change(is_ready=True)
+            else:
+                await self._back_off(rounds)
+                rounds += 1
+
+    async def _settle(self, started: float) -> None:
+        """Wait for the newest version that a party has told.
+
+        A holder may vanish before it gave its version; then the process
+        takes part with what it has.
+        """
+        clock, settings = self._around.clock, self._around.settings
+        while self._is_behind() or not self._around.versions.held.version:
+            waited = clock.monotonic() - started
+            if waited > settings.join_limit_seconds:
+                break
+            await clock.sleep(_POLL_SECONDS)
+        if self._around.versions.held.version:
+            self._change(is_ready=True)
+
+    def _is_behind(self) -> bool:
+        versions = self._around.versions
+        return self._newest is not None and versions.is_wanted(self._newest)
+
+    def _change(self, *, is_ready: bool) -> None:
+        self._serving.is_ready = is_ready
+        if is_ready:
+            self._settled.set()
+        else:
+            self._settled.clear()
+
+    async def _ask_round(self) -> list[VersionReply | None]:
+        answers = await asyncio.gather(
+            *(self._gossip.ask(endpoint) for endpoint in self._parties())
+        )
+        for answer in answers:
+            if answer is not None and (
+                self._newest is None
+                or answer.version.version > self._newest.version
+            ):
+                self._newest = answer.version
+        return answers
+
+    def _parties(self) -> set[str]:
+        """Return readers and others to ask; readers know the source."""
+        own = self._around.member.data_centre
+        topology = self._around.topology
+        near = [
+            endpoint
+            for endpoint in self._election.readers_of(own)
+            if endpoint != self._around.member.endpoint
+        ]
+        parties = set(near[: NEAR_PARTIES - 1])
+        others = sorted(set(topology.neighbours()) - parties)
+        count = min(len(others), NEAR_PARTIES - len(parties))
+        parties.update(self._around.random.sample(others, count))
+        for data_centre in topology.data_centres():
+            if data_centre != own and topology.members(data_centre):
+                parties.add(
+                    self._around.random.choice(topology.members(data_centre))
+                )
+        return parties
+
+    async def _back_off(self, rounds: int) -> None:
+        settings = self._around.settings
+        longest = min(
+            settings.join_backoff_max, settings.join_backoff_min * 2**rounds
+        )
+        await self._around.clock.sleep(longest * self._around.random.random())
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/_service.py
@@ -0,0 +1,160 @@
+"""The distribution as one service of a process."""
+
+from random import Random
+
+from result import Result
+
+from wagtailline.distribution._acknowledge import Acknowledgements
+from wagtailline.distribution._catch_up import CatchUp
+from wagtailline.distribution._election import Election, Surroundings
+from wagtailline.distribution._gossip import Gossip
+from wagtailline.distribution._join import NotConfirmed, Readiness
+from wagtailline.distribution._relay import Relay
+from wagtailline.distribution._report import FleetReport, Reporting
+from wagtailline.distribution._serving import Serving
+from wagtailline.distribution._source_reader import SourceReader
+from wagtailline.distribution._tasks import TaskSet
+from wagtailline.distribution._topology import Topology
+from wagtailline.distribution._versions import VersionRefusal, Versions
+from wagtailline.distribution.messages import (
+    Acknowledgement,
+    BucketRequest,
+    DeltaRequest,
+    HeadNotice,
+    HeadRequest,
+    KeptOut,
+    ReportRequest,
+    VersionName,
+    VersionProbe,
+)
+from wagtailline.distribution.settings import DistributionSettings
+from wagtailline.peers import PeerLinks
+from wagtailline.ports import Clock, Source, SourceFailure
+from wagtailline.snapshot import SnapshotStore
+
+
+class Distribution:
+    """Keeps the snapshot store at the newest sound version.
+
+    The service handles messages on the given links, which the owner starts
+    before it and stops after it. The member table is only read.
+    """
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        source: Source,
+        store: SnapshotStore,
+        clock: Clock,
+        random: Random,
+        settings: DistributionSettings | None = None,
+    ) -> None:
+        """Compose the parts; must run in the event loop."""
+        around = Surroundings(
+            links.member,
+            links,
+            clock,
+            random,
+            settings or DistributionSettings(),
+            Topology(links.member, links.table, clock),
+            Versions(store, clock),
+        )
+        self._around = around
+        self._store = store
+        self._tasks = TaskSet()
+        self._catch_up = CatchUp(around)
+        self._election = Election(around)
+        acknowledgements = Acknowledgements(around, self._tasks)
+        self._relay = Relay(
+            around,
+            self._election,
+            acknowledgements,
+            self._catch_up,
+            self._tasks,
+        )
+        self._reader = SourceReader(
+            around, self._election, source, self._relay.announce
+        )
+        self._gossip = Gossip(around, self._election, self._catch_up)
+        serving = Serving(around, self._election, self._catch_up)
+        self._readiness = Readiness(
+            around, self._election, self._gossip, serving, self._reader
+        )
+        self._reporting = Reporting(around, self._election, acknowledgements)
+        self._register(acknowledgements, serving)
+
+    async def start(self) -> None:
+        """Begin to join."""
+        for work in (
+            self._reader.work(),
+            self._catch_up.work(),
+            self._relay.announce_installed(self._store),
+            self._election.watch_over(),
+            self._gossip.exchange(),
+            self._gossip.exchange_far(),
+            self._readiness.join(),
+            self._readiness.watch_pauses(),
+        ):
+            self._tasks.spawn(work)
+
+    async def stop(self) -> None:
+        """End every task."""
+        await self._tasks.stop()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the snapshot in force may be relied on."""
+        return self._readiness.is_ready
+
+    @property
+    def is_reader(self) -> bool:
+        """Tell whether this process holds itself to be a reader."""
+        return self._election.is_reader
+
+    @property
+    def version(self) -> VersionName:
+        """Return the version in force with its confirmation."""
+        return self._around.versions.name
+
+    @property
+    def kept_out(self) -> tuple[KeptOut, ...]:
+        """Return rejected and forked versions with the reason."""
+        return self._around.versions.kept_out
+
+    @property
+    def last_refusal(self) -> VersionRefusal | None:
+        """Return why a version was last not installed."""
+        return self._around.versions.last_refusal
+
+    @property
+    def last_source_failure(self) -> SourceFailure | None:
+        """Return why a source call last failed."""
+        return self._reader.last_failure
+
+    async def wait_ready(self, seconds: float) -> Result[None, NotConfirmed]:
+        """Wait until the snapshot may be relied on, at most the time."""
+        return await self._readiness.wait(seconds)
+
+    def age_seconds(self) -> float | None:
+        """Return the time since a source read confirmed the snapshot.
+
+        None means never. It rests on wall clocks, so it may be wrong by the
+        stated allowance for clock differences.
+        """
+        return self._around.versions.age_seconds()
+
+    async def report(self) -> FleetReport:
+        """Ask every data centre which version is in force there."""
+        return await self._reporting.collect()
+
+    def _register(
+        self, acknowledgements: Acknowledgements, serving: Serving
+    ) -> None:
+        links = self._around.links
+        links.on_message(HeadNotice, self._relay.receive)
+        links.on_message(Acknowledgement, acknowledgements.receive)
+        links.on_request(VersionProbe, serving.answer_probe)
+        links.on_request(DeltaRequest, serving.answer_deltas)
+        links.on_request(HeadRequest, serving.answer_head)
+        links.on_request(BucketRequest, serving.answer_buckets)
+        links.on_request(ReportRequest, self._reporting.answer)
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/_versions.py
@@ -0,0 +1,256 @@
+"""The version in force here, and those that are kept out."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailline.checks import SetFault, check_set
+from wagtailline.distribution._delta_log import DeltaLog
+from wagtailline.distribution.messages import KeptOut, VersionName
+from wagtailline.objects import ObjectId
+from wagtailline.ports import Clock
+from wagtailline.release import (
+    EMPTY_SET,
+    BucketSet,
+    Change,
+    Delta,
+    Head,
+    MalformedContent,
+    ReleaseFailure,
+    apply_deltas,
+    assemble,
+)
+from wagtailline.snapshot import Snapshot, SnapshotStore
+
+# Rejected and forked versions are rare; the oldest are dropped above this.
+MAX_KEPT_OUT = 64
+MAX_REASON_CHARACTERS = 400
+# The stated allowance for differences between the clocks of two vms.
+CLOCK_ALLOWANCE_MS = 2000
+
+
+class VersionRejected(NamedTuple):
+    """The set of a version has faults; it is kept out as a whole."""
+
+    version: int
+    digest: bytes
+    faults: tuple[SetFault | MalformedContent, ...]
+
+
+class VersionForked(NamedTuple):
+    """The version in force was offered with another digest."""
+
+    version: int
+    digest: bytes
+
+
+class VersionNotNewer(NamedTuple):
+    """The offered version is not above the one in force."""
+
+    version: int
+
+
+class ChainBroken(NamedTuple):
+    """No delta follows the version in force."""
+
+    version: int
+
+
+VersionRefusal = (
+    VersionRejected
+    | VersionForked
+    | VersionNotNewer
+    | ChainBroken
+    | ReleaseFailure
+)
+
+
+class Versions:
+    """Installs what is newer and sound, remembers what is not."""
+
+    def __init__(self, store: SnapshotStore, clock: Clock) -> None:
+        """Begin with an empty store."""
+        self.held: BucketSet = EMPTY_SET
+        self.log = DeltaLog()
+        self.last_refusal: VersionRefusal | None = None
+        self._store = store
+        self._clock = clock
+        self._confirmed_ms = 0
+        self._kept_out: dict[tuple[int, bytes], KeptOut] = {}
+
+    @property
+    def name(self) -> VersionName:
+        """Return the version in force and its confirmation."""
+        return VersionName(
+            self.held.version, self.held.digest, self._confirmed_ms
+        )
+
+    @property
+    def kept_out(self) -> tuple[KeptOut, ...]:
+        """Return rejected and forked versions with the reason."""
+        return tuple(self._kept_out.values())
+
+    def age_seconds(self) -> float | None:
+        """Return the time since the last confirmation, None before any."""
+        if not self._confirmed_ms:
+            return None
+        return max(0, self._clock.wall() - self._confirmed_ms / 1000)
+
+    def is_wanted(self, name: VersionName) -> bool:
+        """Tell whether a version is newer and not known as faulty."""
+        self.observe(name)
+        return name.version > self.held.version and not self.is_kept_out(name)
+
+    def is_kept_out(self, name: VersionName) -> bool:
+        """Tell whether a version is known as faulty or forked."""
+        return (name.version, name.digest) in self._kept_out
+
+    def observe(self, name: VersionName) -> None:
+        """Take a confirmation of the version in force, or note a fork."""
+        if name.version != self.held.version or not self.held.version:
+            return
+        if name.digest == self.held.digest:
+            self._confirm(name.confirmed_ms)
+        else:
+            self._keep_out(name.version, name.digest, 'fork')
+
+    def confirm_until(self, wall_ms: int) -> None:
+        """Note that the source confirmed the version in force."""
+        self._confirm(wall_ms)
+
+    def accept_deltas(
+        self, deltas: tuple[Delta, ...]
+    ) -> Result[None, VersionRefusal]:
+        """Install the newest sound version that the deltas lead to."""
+        chain = self._find_chain(deltas)
+        if not chain:
+            newest = max((delta.version for delta in deltas), default=0)
+            return Err(ChainBroken(newest))
+        refused: VersionRefusal = ChainBroken(chain[-1].version)
+        for length in range(len(chain), 0, -1):
+            accepted = self._accept_chain(chain[:length])
+            if isinstance(accepted, Ok):
+                return accepted
+            refused = accepted.err_value
+        return Err(refused)
+
+    def accept_buckets(
+        self, head: Head, fetched: dict[bytes, bytes]
+    ) -> Result[None, VersionRefusal]:
+        """Install the head's version of held and fetched buckets."""
+        refusal = self._refuse_name(head.version, head.digest)
+        if refusal is not None:
+            return Err(refusal)
+        base = self.held
+        match assemble(base, head, fetched):
+            case Ok(change):
+                installed = self._install(change)
+                if installed.is_ok():
+                    self.log.bridge(base, change)
+                return installed
+            case Err(MalformedContent() as fault):
+                # The digests match, so every copy has the same fault.
+                return Err(self._reject(head.version, head.digest, (fault,)))
+            case Err(failure):
+                self.last_refusal = failure
+                return Err(failure)
+
+    def _find_chain(self, deltas: tuple[Delta, ...]) -> tuple[Delta, ...]:
+        for start in range(len(deltas) - 1, -1, -1):
+            first = deltas[start]
+            if (
+                first.parent_digest == self.held.digest
+                and first.version > self.held.version
+            ):
+                return deltas[start:]
+        return ()
+
+    def _accept_chain(
+        self, chain: tuple[Delta, ...]
+    ) -> Result[None, VersionRefusal]:
+        last = chain[-1]
+        refusal = self._refuse_name(last.version, last.digest)
+        if refusal is not None:
+            return Err(refusal)
+        match apply_deltas(self.held, chain):
+            case Ok(change):
+                installed = self._install(change)
+                if installed.is_ok():
+                    self.log.extend(chain)
+                return installed
+            case Err(failure):
+                # A damaged copy proves nothing about the version itself.
+                self.last_refusal = failure
+                return Err(failure)
+
+    def _refuse_name(
+        self, version: int, digest: bytes
+    ) -> VersionRefusal | None:
+        self.observe(VersionName(version, digest))
+        known = self._kept_out.get((version, digest))
+        if known is not None and version > self.held.version:
+            return VersionRejected(version, digest, ())
+        if version > self.held.version:
+            return None
+        if known is not None:
+            return VersionForked(version, digest)
+        return VersionNotNewer(version)
+
+    def _install(self, change: Change) -> Result[None, VersionRefusal]:
+        buckets = change.buckets
+        faults = self._find_faults(buckets, change.changed)
+        if faults:
+            return Err(self._reject(buckets.version, buckets.digest, faults))
+        current = self._store.current
+        snapshot = (
+            Snapshot(buckets.version, buckets.digest, buckets.objects)
+            if current is None
+            else current.advance(
+                buckets.version,
+                buckets.digest,
+                buckets.objects,
+                change.changed,
+            )
+        )
+        if isinstance(self._store.install(snapshot), Err):
+            return Err(VersionNotNewer(buckets.version))
+        # A newer version is at least as fresh as the last confirmation.
+        self.held = buckets
+        return Ok(None)
+
+    def _find_faults(
+        self, buckets: BucketSet, changed: frozenset[ObjectId]
+    ) -> tuple[SetFault, ...]:
+        current = self._store.current
+        if current is None:
+            return check_set(buckets.objects)
+        return current.find_faults(buckets.objects, changed)
+
+    def _reject(
+        self,
+        version: int,
+        digest: bytes,
+        faults: Iterable[SetFault | MalformedContent],
+    ) -> VersionRejected:
+        rejected = VersionRejected(version, digest, tuple(faults))
+        reason = ', '.join(str(fault) for fault in rejected.faults)
+        self._keep_out(version, digest, reason)
+        self.last_refusal = rejected
+        return rejected
+
+    def _keep_out(self, version: int, digest: bytes, reason: str) -> None:
+        if (version, digest) in self._kept_out:
+            return
+        if len(self._kept_out) >= MAX_KEPT_OUT:
+            del self._kept_out[next(iter(self._kept_out))]
+        self._kept_out[version, digest] = KeptOut(
+            version, digest, reason[:MAX_REASON_CHARACTERS]
+        )
+
+    def _confirm(self, wall_ms: int) -> None:
+        now_ms = int(self._clock.wall() * 1000)
+        # A sender whose clock is far ahead would hide that the source is
+        # out of reach.
+        if self._confirmed_ms < wall_ms <= now_ms + CLOCK_ALLOWANCE_MS:
+            self._confirmed_ms = wall_ms
--- /dev/null
+++ b/packages/wagtailline/src/wagtailline/distribution/settings.py
@@ -0,0 +1,27 @@
+"""Periods and bounds of the distribution."""
+
+from typing import NamedTuple
+
+
+class DistributionSettings(NamedTuple):
+    """Times are seconds.
+
+    A reader makes two source calls in each ``watch_seconds``, which stays
+    below the sustained rate of one call a second.
+    """
+
+    readers: int = 2
+    watch_seconds: float = 3
+    source_rate: float = 1
+    source_burst: int = 4
+    source_backoff_seconds: float = 8
+    gossip_seconds: float = 1
+    probe_seconds: float = 1
+    transfer_seconds: float = 5
+    join_seconds: float = 5
+    join_limit_seconds: float = 15
+    join_backoff_min: float = 0.2
+    join_backoff_max: float = 5
+    confirm_seconds: float = 0.5
+    pause_seconds: float = 1
+    max_transfers: int = 32
--- a/packages/wagtailline/src/wagtailline/release.py
+++ b/packages/wagtailline/src/wagtailline/release.py
@@ -21,6 +21,7 @@
     chain_of,
     decode_bucket,
     decode_head,
+    decode_pack,
     digest_content,
     digest_set,
     encode_bucket,
@@ -33,6 +34,7 @@
 )
 from wagtailline._release_limits import (
     BUCKET_COUNT,
+    BUCKETS_PER_PACK,
     DIGEST_BYTES,
     EMPTY_DIGEST,
     HEAD_KEY,
@@ -54,6 +56,7 @@
 )
 
 __all__ = (
+    'BUCKETS_PER_PACK',
     'BUCKET_COUNT',
     'DIGEST_BYTES',
     'EMPTY_DIGEST',
@@ -84,6 +87,7 @@
     'chain_of',
     'decode_bucket',
     'decode_head',
+    'decode_pack',
     'digest_content',
     'digest_set',
     'encode_bucket',
