--- a/packages/wagtailline/tests/membership/test_failures.py
+++ b/packages/wagtailline/tests/membership/test_failures.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailline.membership import MembershipSettings
-from wagtailline_lab.fleet import run_fleet
+from wagtailline_lab.membership_fleet import run_fleet
 from wagtailline_lab.network import LinkQuality
 
 from ._waiting import agree, replace, start_fleet, wait_until, write_lists
