Wire the distribution into the daemon

Cause: the daemon followed the source by itself, so source calls grew with the fleet. Change: Distribution in place of the follower, its report on the operator port and in wagtailctl fleet and wait; status grouped by subsystem.

--- a/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
@@ -34,6 +34,19 @@
         return _show(self, '/v1/status', {})
 
 
+class FleetCommand(Command):
+    """Shows which version is in force where."""
+
+    name = 'fleet'
+    description = 'Show which version is in force in every data centre.'
+    arguments = [_DAEMON]
+    options = [_JSON]
+
+    def handle(self) -> int:
+        """Exit with 0, or with 4 when the daemon does not answer."""
+        return _show(self, '/v1/fleet', {})
+
+
 class MembersCommand(Command):
     """Lists which vm holds which endpoint."""
 
@@ -84,11 +97,11 @@
         progress = self.progress_indicator()
         progress.start(f'waiting for version {wanted}')
         while time.monotonic() < deadline:
-            state = _read_in_force(self.argument('daemon'))
-            if state.get('lowest_version', 0) >= wanted:
+            fleet = _read_fleet(self.argument('daemon'))
+            if _is_everywhere(fleet, wanted):
                 progress.finish(f'version {wanted} is in force everywhere')
                 return EXIT_OK
-            progress.set_message(_progress(state, wanted))
+            progress.set_message(_progress(fleet, wanted))
             progress.advance()
             time.sleep(POLL_SECONDS)
         progress.finish(f'version {wanted} is not in force everywhere')
@@ -135,18 +148,26 @@
     return str(record)
 
 
-def _read_in_force(daemon: str) -> dict[str, Any]:
-    match read_daemon(daemon, '/v1/status', {}):
-        case Ok({'in_force': dict(state)}):
-            return state
+def _read_fleet(daemon: str) -> dict[str, Any]:
+    match read_daemon(daemon, '/v1/fleet', {}):
+        case Ok(dict(fleet)):
+            return fleet
         case _:
             return {}
 
 
-def _progress(state: dict[str, Any], wanted: int) -> str:
-    laggards = ', '.join(str(one) for one in state.get('laggards', ()))
+def _is_everywhere(fleet: dict[str, Any], wanted: int) -> bool:
+    return int(fleet.get('everywhere', 0)) >= wanted and not fleet['silent']
+
+
+def _progress(fleet: dict[str, Any], wanted: int) -> str:
+    laggards = ', '.join(
+        str(one['endpoint']) for one in fleet.get('laggards', ())
+    )
+    silent = ', '.join(fleet.get('silent', ()))
     return (
-        f'waiting for version {wanted}: lowest in force '
-        f'{state.get("lowest_version", "unknown")} of '
-        f'{state.get("members", "unknown")} daemons; held up by {laggards}'
+        f'waiting for version {wanted}: {fleet.get("everywhere", "unknown")} '
+        f'is in force at all {fleet.get("members", "unknown")} daemons that '
+        f'reported; behind: {laggards or "none known"}; '
+        f'data centres without an answer: {silent or "none"}'
     )
--- a/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
@@ -6,6 +6,7 @@
 
 from wagtailline_ctl._daemon_commands import (
     ExplainCommand,
+    FleetCommand,
     MembersCommand,
     StatusCommand,
     WaitCommand,
@@ -21,6 +22,7 @@
     CheckCommand,
     DiffCommand,
     ExplainCommand,
+    FleetCommand,
     MembersCommand,
     StatusCommand,
     WaitCommand,
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_base.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_base.py
@@ -8,6 +8,7 @@
 from wagtailline.allowance import ALLOWANCE_KINDS
 from wagtailline.calls import CALL_KINDS
 from wagtailline.codec import Codec
+from wagtailline.distribution import DISTRIBUTION_KINDS
 from wagtailline.kernel import Kernel
 from wagtailline.membership import MEMBERSHIP_KINDS, Member, MemberTable
 from wagtailline.messages import CONNECTION_KINDS
@@ -44,6 +45,7 @@
         {
             **CONNECTION_KINDS,
             **ENVELOPE_KINDS,
+            **DISTRIBUTION_KINDS,
             **MEMBERSHIP_KINDS,
             **ALLOWANCE_KINDS,
             **ADMISSION_KINDS,
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
@@ -80,7 +80,7 @@
     base.kernel.register('ownership', ownership)
     base.kernel.register('executions', records)
     parts = GateParts(
-        verifier=CallVerifier(settings.endpoint, base.store, mesh.distribution),
+        verifier=CallVerifier(settings.endpoint, base.store, mesh.catch_up),
         gate=gate,
         records=records,
         upstream=base.tracing.wrap('upstream', upstream),
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
@@ -4,6 +4,7 @@
 
 from wagtailline.allowance import Allowance, Identity
 from wagtailline.codec import FrameFault
+from wagtailline.distribution import Distribution
 from wagtailline.membership import (
     Environment,
     LinkPeers,
@@ -13,21 +14,29 @@
 from wagtailline.peer_requests import PeerRequests
 from wagtailline.peers import PeerLinks
 from wagtailline.streams import StreamTransport
+from wagtailline.verification import CatchUp
 from wagtailline_daemon._compose_base import Base
 from wagtailline_daemon._published_names import PublishedNames
-from wagtailline_daemon._source_follower import SourceFollower
 from wagtailline_daemon.daemon_events import FrameRejected, VmListRejected
 from wagtailline_daemon.http_source import HttpSource
 
 
+class _GossipCatchUp:
+    """Leaves it to the distribution to find the version."""
+
+    def request_version(self, version: int) -> None:
+        """Do nothing."""
+
+
 class Mesh(NamedTuple):
     """Services that talk to other daemons about control."""
 
     links: PeerLinks
     peers: PeerRequests
     membership: MembershipService
-    distribution: SourceFollower
+    distribution: Distribution
     allowance: Allowance
+    catch_up: CatchUp
 
 
 def build_mesh(base: Base) -> Mesh:
@@ -61,7 +70,10 @@
         links=links,
         peers=peers,
         membership=membership,
-        distribution=SourceFollower(source, base.store),
+        distribution=Distribution(
+            links, source, base.store, base.clock, base.random
+        ),
+        catch_up=_GossipCatchUp(),
         allowance=Allowance(
             identity, base.store, peers, base.clock, base.random
         ),
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from wagtailline.admission import Gate
 from wagtailline.ports import Address
 from wagtailline_daemon._compose_base import Base, build_base
 from wagtailline_daemon._compose_calls import CallPath, build_call_path
@@ -72,7 +73,10 @@
 def _register_http(base: Base, mesh: Mesh, calls: CallPath) -> None:
     settings = base.settings
     application = build_operator_app(
-        _build_board(base, mesh, calls), base.store, base.members
+        _build_board(base, mesh, calls),
+        base.store,
+        base.members,
+        mesh.distribution.report,
     )
     base.kernel.register(
         'operator_http',
@@ -92,28 +96,44 @@
 
 def _build_board(base: Base, mesh: Mesh, calls: CallPath) -> StatusBoard:
     board = StatusBoard()
-    store, gate = base.store, calls.gate
-    board.add('ready', lambda: store.current is not None)
-    board.add('member', lambda: mesh.membership.member)
-    board.add('version', lambda: store.version)
-    board.add('digest', lambda: store.current.digest if store.current else b'')
-    board.add(
-        'gate',
-        lambda: {
-            'limit': gate.limit,
-            'in_progress': gate.in_progress,
-            'queued': gate.queued,
-            'load': gate.load,
-        },
-    )
     board.add(
-        'membership',
-        lambda: {
-            'takes_part': mesh.membership.takes_part,
-            'known': len(base.members.members()),
-            'answering': len(
-                mesh.membership.answering(base.settings.data_centre)
-            ),
-        },
+        'ready',
+        lambda: mesh.distribution.is_ready and mesh.membership.takes_part,
     )
+    board.add('member', lambda: mesh.membership.member)
+    board.add('snapshot', lambda: _report_snapshot(base, mesh))
+    board.add('gate', lambda: _report_gate(calls.gate))
+    board.add('membership', lambda: _report_membership(base, mesh))
     return board
+
+
+def _report_snapshot(base: Base, mesh: Mesh) -> object:
+    current = base.store.current
+    distribution = mesh.distribution
+    return {
+        'version': base.store.version,
+        'digest': current.digest if current else b'',
+        'age_seconds': distribution.age_seconds(),
+        'is_reader': distribution.is_reader,
+        'kept_out': distribution.kept_out,
+        'last_refusal': distribution.last_refusal,
+        'last_source_failure': distribution.last_source_failure,
+    }
+
+
+def _report_gate(gate: Gate) -> object:
+    return {
+        'limit': gate.limit,
+        'in_progress': gate.in_progress,
+        'queued': gate.queued,
+        'load': gate.load,
+    }
+
+
+def _report_membership(base: Base, mesh: Mesh) -> object:
+    data_centre = base.settings.data_centre
+    return {
+        'takes_part': mesh.membership.takes_part,
+        'known': len(base.members.members()),
+        'answering': len(mesh.membership.answering(data_centre)),
+    }
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/operator_api.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/operator_api.py
@@ -1,16 +1,18 @@
 """Read-only HTTP interface for operators, on falcon."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from falcon import HTTPServiceUnavailable
 from falcon.asgi import App, Request, Response
 
+from wagtailline.distribution import FleetReport
 from wagtailline.membership import MemberTable
 from wagtailline.snapshot import SnapshotStore
 from wagtailline_daemon.explain import RequestShape, explain_request
 
 Report = Callable[[], object]
+FleetReporter = Callable[[], Awaitable[FleetReport]]
 
 
 class StatusBoard:
@@ -79,12 +81,28 @@
         )
 
 
+class FleetResource:
+    """``GET /v1/fleet``: which version is in force where."""
+
+    def __init__(self, report: FleetReporter) -> None:
+        """Ask the distribution."""
+        self._report = report
+
+    async def on_get(self, request: Request, response: Response) -> None:
+        """Answer with the report of every data centre that answers."""
+        response.media = to_plain(await self._report())
+
+
 def build_operator_app(
-    board: StatusBoard, store: SnapshotStore, members: MemberTable
+    board: StatusBoard,
+    store: SnapshotStore,
+    members: MemberTable,
+    report: FleetReporter,
 ) -> App[Any, Any]:
     """Return the ASGI application of the operator port."""
     application: App[Any, Any] = App()
     application.add_route('/v1/status', StatusResource(board))
+    application.add_route('/v1/fleet', FleetResource(report))
     application.add_route('/v1/members', MembersResource(members))
     application.add_route('/v1/explain', ExplainResource(store, members))
     return application
--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -51,7 +51,9 @@
             return answer.status, await answer.read()
 
     async def until(self, status, path, account):
-        while (await self.send(path, account))[0] != status:
+        while (  # noqa: ASYNC110
+            await self.send(path, account)
+        )[0] != status:
             await asyncio.sleep(0.1)
 
 
