Cut the CPU time of a call: cheaper deadline, header classes, lazy bodies

Header names are classified once and looked up. Answers that come whole need no receiving body, and aiohttp's reader is not awaited for a body that is there.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_answer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_answer.py
@@ -1,11 +1,17 @@
 """Sends answers and refusals as ASGI messages."""
 
-import asyncio
 from collections.abc import Awaitable, Callable, MutableMapping
 from random import Random
 from typing import Any
 
-from wagtailline.calls import Answer, Body, BodyTruncated, Refusal, WholeBody
+from wagtailline.calls import (
+    Answer,
+    Body,
+    BodyTruncated,
+    Deadline,
+    Refusal,
+    WholeBody,
+)
 from wagtailline_daemon._ingress_headers import pass_answer_headers
 from wagtailline_daemon._ingress_refusals import problem_body, problem_headers
 
@@ -34,7 +40,7 @@
         return await finish(send, answer.body.content)
     try:
         async for content in answer.body:
-            async with asyncio.timeout(stall_ms / _MILLISECONDS):
+            with Deadline(stall_ms / _MILLISECONDS):
                 await send(
                     {
                         'type': 'http.response.body',
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_headers.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_headers.py
@@ -1,6 +1,7 @@
 """Headers of a request as the ingress takes and passes them on."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -13,10 +14,22 @@
 MAX_DEPTH = 32
 RESERVED_PREFIX = b'wagtailline-'
 _KEY_DIGEST_BYTES = 32
+# Bounds the memory for names that callers make up.
+_KNOWN_NAMES = 1024
+_AUTHORIZATION = b'authorization'
+_CODING = b'transfer-encoding'
 _CONNECTION = b'connection'
+_DEPTH = b'wagtailline-depth'
+_HOST = b'host'
+_IDEMPOTENCY_KEY = b'idempotency-key'
+_LENGTH = b'content-length'
+_TIMEOUT = b'wagtailline-timeout-ms'
+_TRACE = b'traceparent'
+_CREDENTIALS = frozenset((_AUTHORIZATION, b'proxy-authorization'))
 _HOP_BY_HOP = frozenset(
     (
-        b'connection',
+        _CONNECTION,
+        _CODING,
         b'expect',
         b'http2-settings',
         b'keep-alive',
@@ -24,31 +37,12 @@
         b'proxy-connection',
         b'te',
         b'trailer',
-        b'transfer-encoding',
         b'upgrade',
     )
 )
-_CREDENTIALS = frozenset((b'authorization', b'proxy-authorization'))
 # A caller must not use Connection to remove these on the way.
-_END_TO_END = frozenset(
-    (
-        b'authorization',
-        b'content-length',
-        b'host',
-        b'idempotency-key',
-    )
-)
-_SINGLE = frozenset(
-    (
-        b'authorization',
-        b'content-length',
-        b'host',
-        b'idempotency-key',
-        b'transfer-encoding',
-        b'wagtailline-depth',
-        b'wagtailline-timeout-ms',
-    )
-)
+_END_TO_END = frozenset((_AUTHORIZATION, _LENGTH, _HOST, _IDEMPOTENCY_KEY))
+_SINGLE = frozenset((*_END_TO_END, _CODING, _DEPTH, _TIMEOUT))
 
 
 class MalformedHeaders(NamedTuple):
@@ -69,6 +63,24 @@
     has_body: bool
 
 
+class _Use(NamedTuple):
+    """What the ingress does with the headers of a name."""
+
+    is_single: bool
+    is_passed: bool
+    is_answered: bool
+
+
+@lru_cache(_KNOWN_NAMES)
+def _use_of(name: bytes) -> _Use:
+    name = name.lower()
+    is_reserved = name in _HOP_BY_HOP or name.startswith(RESERVED_PREFIX)
+    # Servers with CGI variables read an underscore as a hyphen, so such a
+    # name could stand for a reserved or framing header.
+    is_dropped = is_reserved or name in _CREDENTIALS or b'_' in name
+    return _Use(name in _SINGLE, not is_dropped, not is_reserved)
+
+
 def read_headers(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> Result[RequestHeaders, MalformedHeaders]:
@@ -76,17 +88,19 @@
     singles: dict[bytes, bytes] = {}
     listed: set[bytes] = set()
     passed: list[tuple[bytes, bytes]] = []
-    for name, field in headers:
-        if name in _SINGLE:
+    for header in headers:
+        name, field = header
+        if not field.isascii() and not _is_utf8(field):
+            return Err(MalformedHeaders('header_not_utf8'))
+        use = _use_of(name)
+        if use.is_single:
             if name in singles:
                 return Err(MalformedHeaders('header_repeated'))
             singles[name] = field
-        if not _is_text(field):
-            return Err(MalformedHeaders('header_not_utf8'))
-        if name == _CONNECTION:
+        if use.is_passed:
+            passed.append(header)
+        elif name == _CONNECTION:
             listed.update(_split_list(field))
-        elif _is_passed(name):
-            passed.append((name, field))
     problem = _check(singles, listed)
     if problem:
         return Err(MalformedHeaders(problem))
@@ -100,37 +114,18 @@
 
 def pass_answer_headers(headers: Headers) -> Headers:
     """Drop what holds only between the upstream and its gate."""
+    kept = tuple(one for one in headers if _use_of(one[0]).is_answered)
+    if len(kept) == len(headers):
+        return kept
     listed: set[bytes] = set()
-    passed = [(name.lower(), field) for name, field in headers]
-    for name, field in passed:
-        if name == _CONNECTION:
+    for name, field in headers:
+        if name.lower() == _CONNECTION:
             listed.update(_split_list(field))
-    return tuple(
-        header
-        for header in passed
-        if _is_answered(header[0]) and header[0] not in listed
-    )
-
-
-def _is_passed(name: bytes) -> bool:
-    # Servers with CGI variables read an underscore as a hyphen, so such a
-    # name could stand for a reserved or framing header.
-    return (
-        name not in _HOP_BY_HOP
-        and name not in _CREDENTIALS
-        and not name.startswith(RESERVED_PREFIX)
-        and b'_' not in name
-    )
+    return tuple(one for one in kept if one[0].lower() not in listed)
 
 
-def _is_answered(name: bytes) -> bool:
-    return name not in _HOP_BY_HOP and not name.startswith(RESERVED_PREFIX)
-
-
-def _is_text(field: bytes) -> bool:
-    # aiohttp writes headers as UTF-8 and would alter other bytes.
-    if field.isascii():
-        return True
+def _is_utf8(field: bytes) -> bool:
+    # Other bytes have no meaning that all servers agree on.
     try:
         field.decode()
     except UnicodeDecodeError:
@@ -143,16 +138,16 @@
 
 
 def _check(singles: dict[bytes, bytes], listed: set[bytes]) -> str:
-    coding = singles.get(b'transfer-encoding')
-    if b'host' not in singles:
+    coding = singles.get(_CODING)
+    if _HOST not in singles:
         return 'host_missing'
     if coding is not None and coding.lower() != b'chunked':
         return 'transfer_encoding_unknown'
-    if coding is not None and b'content-length' in singles:
+    if coding is not None and _LENGTH in singles:
         return 'length_and_chunked'
     if not listed.isdisjoint(_END_TO_END):
         return 'connection_lists_end_to_end_header'
-    if len(singles.get(b'idempotency-key', b'')) > MAX_IDEMPOTENCY_KEY_BYTES:
+    if len(singles.get(_IDEMPOTENCY_KEY, b'')) > MAX_IDEMPOTENCY_KEY_BYTES:
         return 'idempotency_key_too_long'
     return ''
 
@@ -162,39 +157,40 @@
     passed: list[tuple[bytes, bytes]],
     listed: set[bytes],
 ) -> Result[RequestHeaders, MalformedHeaders]:
-    timeout_ms = _parse_number(
-        singles.get(b'wagtailline-timeout-ms'), MAX_TIMEOUT_MS
-    )
-    depth = _parse_number(singles.get(b'wagtailline-depth', b'0'), MAX_DEPTH)
+    timeout_ms = _parse_number(singles.get(_TIMEOUT), MAX_TIMEOUT_MS)
+    depth = _parse_number(singles.get(_DEPTH, b'0'), MAX_DEPTH)
     if timeout_ms is None or depth is None:
         return Err(MalformedHeaders('header_out_of_range'))
-    key = _parse_key(singles.get(b'authorization', b''))
+    key = _parse_key(singles.get(_AUTHORIZATION, b''))
     kept = tuple(
-        header
-        for header in passed
-        if header[0] not in listed and not (key and key in header[1])
+        [
+            header
+            for header in passed
+            if not (key and key in header[1]) and header[0] not in listed
+        ]
     )
-    trace = next((field for name, field in kept if name == b'traceparent'), b'')
     return Ok(
         RequestHeaders(
-            passed=kept,
-            key=key,
-            idempotency_key=singles.get(b'idempotency-key', b'').decode(
-                'latin-1'
-            ),
-            trace=trace.decode('latin-1'),
-            timeout_ms=timeout_ms,
-            depth=depth,
-            has_body=_has_body(singles),
+            kept,
+            key,
+            singles.get(_IDEMPOTENCY_KEY, b'').decode('latin-1'),
+            _find(kept, _TRACE),
+            timeout_ms,
+            depth,
+            _has_body(singles),
         )
     )
 
 
+def _find(headers: Headers, name: bytes) -> str:
+    for found, field in headers:
+        if found == name:
+            return field.decode('latin-1')
+    return ''
+
+
 def _has_body(singles: dict[bytes, bytes]) -> bool:
-    return (
-        b'transfer-encoding' in singles
-        or singles.get(b'content-length', b'0').strip(b'0') != b''
-    )
+    return _CODING in singles or singles.get(_LENGTH, b'0').strip(b'0') != b''
 
 
 def _parse_key(field: bytes) -> bytes:
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_upstream_exchange.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_upstream_exchange.py
@@ -17,6 +17,7 @@
     Body,
     BodyTruncated,
     CallRequest,
+    Deadline,
     WholeBody,
 )
 from wagtailline_daemon._upstream_request import RequestHead
@@ -80,7 +81,7 @@
         An upstream that sends nothing for the timeout of the call cuts it.
         """
         try:
-            async with asyncio.timeout(self._stall_seconds):
+            with Deadline(self._stall_seconds):
                 return await content.readany()
         except (ClientError, OSError) as problem:
             self.close()
@@ -157,7 +158,10 @@
         if not content.is_eof():
             self._watch(content)
         if length is not None and int(length) <= WHOLE_ANSWER_BYTES:
-            whole = await content.read()
+            if content.is_eof():
+                whole = content.read_nowait()
+            else:
+                whole = await content.read()
             self._finish()
             return WholeBody(whole)
         content.on_eof(self._finish)
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/upstream_client.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/upstream_client.py
@@ -12,6 +12,7 @@
     Body,
     BodyTruncated,
     CallRequest,
+    Deadline,
     Executed,
     Refusal,
     WholeBody,
@@ -91,7 +92,7 @@
     ) -> Result[Answer, Refusal]:
         exchange: Exchange | None = None
         try:
-            async with asyncio.timeout(request.timeout_ms / _MILLISECONDS):
+            with Deadline(request.timeout_ms / _MILLISECONDS):
                 exchange = Exchange(await self._connect(), request)
                 return Ok(await exchange.run(head, body))
         except _FAILURES as failure:
--- a/packages/wagtailline/src/wagtailline/calls/__init__.py
+++ b/packages/wagtailline/src/wagtailline/calls/__init__.py
@@ -2,6 +2,7 @@
 
 from wagtailline.calls._bodies import WholeBody
 from wagtailline.calls._client import CallClient, FindAddress
+from wagtailline.calls._deadline import Deadline
 from wagtailline.calls._server import CallServer
 from wagtailline.calls._types import (
     Answer,
@@ -24,6 +25,7 @@
     'CallHandler',
     'CallRequest',
     'CallServer',
+    'Deadline',
     'Executed',
     'FindAddress',
     'Headers',
--- a/packages/wagtailline/src/wagtailline/calls/_bodies.py
+++ b/packages/wagtailline/src/wagtailline/calls/_bodies.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from wagtailline.calls._deadline import Deadline
 from wagtailline.calls._types import Body, BodyTruncated
 
 WINDOW_BYTES = 64 * 1024
@@ -160,7 +161,7 @@
     async def _wait(self) -> None:
         self._arrival = asyncio.get_running_loop().create_future()
         try:
-            async with asyncio.timeout(self._stall_seconds):
+            with Deadline(self._stall_seconds):
                 await self._arrival
         except TimeoutError:
             await self.aclose()
@@ -176,7 +177,7 @@
     async for content in body:
         start = 0
         while start < len(content):
-            async with asyncio.timeout(stall_seconds):
+            with Deadline(stall_seconds):
                 taken = await window.take(len(content) - start)
             await send(window.sent - taken, content[start : start + taken])
             start += taken
--- a/packages/wagtailline/src/wagtailline/calls/_connection.py
+++ b/packages/wagtailline/src/wagtailline/calls/_connection.py
@@ -14,6 +14,7 @@
     close_body,
     send_pieces,
 )
+from wagtailline.calls._deadline import Deadline
 from wagtailline.calls._types import Answer, Body, CallRequest, Refusal
 from wagtailline.calls.messages import (
     AnswerBody,
@@ -36,14 +37,22 @@
 class _SentCall:
     """What the sender keeps of a call until its answer has ended."""
 
-    def __init__(self, body: IncomingBody) -> None:
+    def __init__(self, make_body: Callable[[], IncomingBody]) -> None:
         self.head: asyncio.Future[Result[Answer, Refusal]] = (
             asyncio.get_running_loop().create_future()
         )
-        self.answer = body
+        self._make_body = make_body
+        self._body: IncomingBody | None = None
         self.window = SendWindow()
         self.sender: asyncio.Task[None] | None = None
 
+    @property
+    def answer(self) -> IncomingBody:
+        """Return the body; most answers come whole and need none."""
+        if self._body is None:
+            self._body = self._make_body()
+        return self._body
+
     def settle(self, outcome: Result[Answer, Refusal]) -> None:
         """Give the outcome; a second one changes nothing."""
         if not self.head.done():
@@ -110,7 +119,7 @@
         call = self._register(number, timeout_seconds)
         started = asyncio.get_running_loop().time()
         try:
-            async with asyncio.timeout(timeout_seconds):
+            with Deadline(timeout_seconds):
                 await self._send_start(number, call, request, body)
                 return await call.head
         except ChannelClosed:
@@ -130,9 +139,12 @@
             except ChannelClosed:
                 self._end()
 
-        call = _SentCall(
-            IncomingBody(grant, lambda: self._cancel(number), stall_seconds)
-        )
+        def make_body() -> IncomingBody:
+            return IncomingBody(
+                grant, lambda: self._cancel(number), stall_seconds
+            )
+
+        call = _SentCall(make_body)
         self._calls[number] = call
         return call
 
@@ -206,12 +218,14 @@
         call = self._calls.get(start.call)
         if call is None or call.head.done():
             return
-        body: Body = call.answer
         if start.ended:
-            body = WholeBody(start.content)
+            body: Body = WholeBody(start.content)
             self._forget_call(start.call)
+        else:
+            body = call.answer
         call.settle(Ok(Answer(start.status, start.headers, body, start.load)))
-        self._forget_if_over(start.call, call)
+        if not start.ended:
+            self._forget_if_over(start.call, call)
 
     def _feed(self, piece: AnswerBody) -> None:
         call = self._calls.get(piece.call)
--- a/packages/wagtailline/src/wagtailline/calls/_server.py
+++ b/packages/wagtailline/src/wagtailline/calls/_server.py
@@ -14,6 +14,7 @@
     close_body,
     send_pieces,
 )
+from wagtailline.calls._deadline import Deadline
 from wagtailline.calls._sequence import ReceivedNumbers
 from wagtailline.calls._types import (
     Answer,
@@ -257,7 +258,7 @@
 def _guard(handler: CallHandler, observe_error: ErrorObserver) -> CallHandler:
     async def run(request: CallRequest, body: Body) -> Result[Answer, Refusal]:
         try:
-            async with asyncio.timeout(request.timeout_ms / _MILLISECONDS):
+            with Deadline(request.timeout_ms / _MILLISECONDS):
                 return await handler(request, body)
         except TimeoutError:
             return Err(Refusal('deadline', 'unknown'))
