--- a/packages/wagtailline/tests/test_distribution.py
+++ b/packages/wagtailline/tests/test_distribution.py
@@ -7,7 +7,7 @@
 from wagtailline.distribution.messages import HeadNotice, VersionName
 from wagtailline.objects import Endpoint, Route, Service
 from wagtailline.release import DigestMismatch, encode_head
-from wagtailline_lab.fleet import run_scene
+from wagtailline_lab.distribution_fleet import run_scene
 
 # The stated time until a change is in force everywhere.
 _TARGET_SECONDS = 3
--- a/packages/wagtailline/tests/test_distribution_faults.py
+++ b/packages/wagtailline/tests/test_distribution_faults.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailline.objects import Endpoint
-from wagtailline_lab.fleet import run_scene
+from wagtailline_lab.distribution_fleet import run_scene
 from wagtailline_lab.network import LinkQuality
 
 # The stated time until a change is in force everywhere.
--- a/packages/wagtailline/tests/test_distribution_machine.py
+++ b/packages/wagtailline/tests/test_distribution_machine.py
@@ -12,7 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from wagtailline.objects import Endpoint, Route
-from wagtailline_lab.fleet import make_scene
+from wagtailline_lab.distribution_fleet import make_scene
 from wagtailline_lab.network import LinkQuality
 from wagtailline_lab.sample_set import make_objects
 from wagtailline_lab.virtual import new_virtual_loop
