--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
@@ -80,7 +80,12 @@
     base.kernel.register('ownership', ownership)
     base.kernel.register('executions', records)
     parts = GateParts(
-        verifier=CallVerifier(settings.endpoint, base.store, mesh.catch_up),
+        verifier=CallVerifier(
+            settings.endpoint,
+            base.store,
+            mesh.distribution,
+            settings.max_snapshot_age_seconds,
+        ),
         gate=gate,
         records=records,
         upstream=base.tracing.wrap('upstream', upstream),
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
@@ -14,20 +14,12 @@
 from wagtailline.peer_requests import PeerRequests
 from wagtailline.peers import PeerLinks
 from wagtailline.streams import StreamTransport
-from wagtailline.verification import CatchUp
 from wagtailline_daemon._compose_base import Base
 from wagtailline_daemon._published_names import PublishedNames
 from wagtailline_daemon.daemon_events import FrameRejected, VmListRejected
 from wagtailline_daemon.http_source import HttpSource
 
 
-class _GossipCatchUp:
-    """Leaves it to the distribution to find the version."""
-
-    def request_version(self, version: int) -> None:
-        """Do nothing."""
-
-
 class Mesh(NamedTuple):
     """Services that talk to other daemons about control."""
 
@@ -36,7 +28,6 @@
     membership: MembershipService
     distribution: Distribution
     allowance: Allowance
-    catch_up: CatchUp
 
 
 def build_mesh(base: Base) -> Mesh:
@@ -73,7 +64,6 @@
         distribution=Distribution(
             links, source, base.store, base.clock, base.random
         ),
-        catch_up=_GossipCatchUp(),
         allowance=Allowance(
             identity, base.store, peers, base.clock, base.random
         ),
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/path.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/path.py
@@ -160,14 +160,15 @@
 
 
 def _print_usage(mesh: Mesh) -> None:
-    resident = [_resident_kib(one.process.pid) / _KIB for one in mesh.members]
+    resident = [resident_kib(one.process.pid) / _KIB for one in mesh.members]
     print(
         f'resident MiB a daemon: median {statistics.median(resident):.1f}, '
         f'highest {max(resident):.1f}'
     )
 
 
-def _resident_kib(process: int) -> int:
+def resident_kib(process: int) -> int:
+    """Return the resident memory of a process in KiB."""
     status = Path(f'/proc/{process}/status').read_text()
     for line in status.splitlines():
         if line.startswith('VmRSS:'):
--- a/packages/wagtailline/src/wagtailline/calls/_types.py
+++ b/packages/wagtailline/src/wagtailline/calls/_types.py
@@ -13,7 +13,7 @@
 class CallRequest(NamedTuple):
     """The head of a request as its sender decided on it.
 
-    ``version`` is the configuration version of that decision,
+    ``sender`` is its endpoint, ``version`` the version that it decided on,
     ``timeout_ms`` the time left, ``depth`` the number of calls above it.
     """
 
@@ -29,6 +29,7 @@
     depth: int = 0
     trace: str = ''
     idempotency_key: str = ''
+    sender: str = ''
 
 
 class Refusal(NamedTuple):
--- a/packages/wagtailline/src/wagtailline/distribution/_service.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_service.py
@@ -62,6 +62,7 @@
         self._around = around
         self._store = store
         self._tasks = TaskSet()
+        self._asked: set[str] = set()
         self._catch_up = CatchUp(around)
         self._election = Election(around)
         acknowledgements = Acknowledgements(around, self._tasks)
@@ -141,6 +142,14 @@
         """
         return self._around.versions.age_seconds()
 
+    def request_version(self, endpoint: str, version: int) -> None:
+        """Ask an endpoint that decided on a version newer than the own."""
+        is_newer = version > self._around.versions.held.version
+        if is_newer and endpoint not in self._asked:
+            self._asked.add(endpoint)
+            asking = self._tasks.spawn(self._gossip.ask(endpoint))
+            asking.add_done_callback(lambda _: self._asked.discard(endpoint))
+
     async def report(self) -> FleetReport:
         """Ask every data centre which version is in force there."""
         return await self._reporting.collect()
--- a/packages/wagtailline/src/wagtailline/routing/_candidates.py
+++ b/packages/wagtailline/src/wagtailline/routing/_candidates.py
@@ -1,14 +1,12 @@
 """Gates that may run a call, nearest first."""
 
-from hashlib import blake2b
 from typing import NamedTuple
 
+from wagtailline.executions import placement_key
 from wagtailline.objects import DataCentre, Endpoint
 from wagtailline.placement import owner
 from wagtailline.snapshot import Snapshot
 
-_DIGEST_BYTES = 16
-
 
 class Position(NamedTuple):
     """The endpoint of this daemon and its data centre."""
@@ -79,12 +77,11 @@
 
     None when the service has no endpoint in service.
     """
-    # The digest keeps the distribution even: placement uses only the first
-    # 64 bytes of a key, and keys of one account may share more than that.
-    named = f'{account}/{idempotency_key}'.encode()
-    digest = blake2b(named, digest_size=_DIGEST_BYTES).hexdigest()
     endpoints = endpoints_in_service(snapshot, service)
-    return owner(digest, (endpoint.name for endpoint in endpoints))
+    return owner(
+        placement_key(account, idempotency_key),
+        (endpoint.name for endpoint in endpoints),
+    )
 
 
 def _region(snapshot: Snapshot, name: str) -> str:
--- a/packages/wagtailline/src/wagtailline/routing/_router.py
+++ b/packages/wagtailline/src/wagtailline/routing/_router.py
@@ -145,7 +145,9 @@
         if left_ms <= 0:
             return Err(Refusal('deadline', 'no'))
         request = call.request._replace(
-            endpoint=endpoint.name, timeout_ms=left_ms
+            endpoint=endpoint.name,
+            timeout_ms=left_ms,
+            sender=self._position.endpoint,
         )
         is_own = endpoint.name == self._position.endpoint
         handler = self._handlers.own if is_own else self._handlers.remote
--- a/packages/wagtailline/src/wagtailline/verification.py
+++ b/packages/wagtailline/src/wagtailline/verification.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from typing import Protocol
+from typing import Any, Protocol
 
 from result import Err, Ok, Result
 
@@ -19,45 +19,77 @@
 Verdict = Result[Snapshot, Refusal]
 
 
-class CatchUp(Protocol):
-    """Asks for a version that a peer has decided on."""
+class SnapshotCurrency(Protocol):
+    """Tells how current the snapshot in force is, and makes it so."""
 
-    def request_version(self, version: int) -> None:
-        """Fetch the version, if it is above the one in force."""
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the snapshot in force may be relied on."""
+
+    async def wait_ready(self, seconds: float) -> Result[None, Any]:
+        """Wait until the snapshot may be relied on, at most the time."""
+
+    def age_seconds(self) -> float | None:
+        """Return the time since a source read confirmed the snapshot."""
+
+    def request_version(self, endpoint: str, version: int) -> None:
+        """Fetch a version that the process at the endpoint holds."""
 
 
 class CallVerifier:
     """Checks calls that arrive for one endpoint."""
 
     def __init__(
-        self, endpoint: str, store: SnapshotStore, catch_up: CatchUp
+        self,
+        endpoint: str,
+        store: SnapshotStore,
+        currency: SnapshotCurrency,
+        max_age_seconds: float | None = None,
     ) -> None:
-        """Check for the endpoint that this process holds."""
+        """Check for the endpoint that this process holds.
+
+        Without a maximal age, a snapshot stays in use however long the
+        source has not confirmed it.
+        """
         self._endpoint = endpoint
         self._store = store
-        self._catch_up = catch_up
+        self._currency = currency
+        self._max_age_seconds = max_age_seconds
 
     async def verify(self, request: CallRequest) -> Verdict:
         """Return the snapshot that admits the call.
 
-        Every refusal is "not run". A snapshot older than the sender's is
-        waited for, for at most ``CATCH_UP_SECONDS``.
+        Every refusal is "not run". A process that has just resumed, or
+        holds an older version than the sender, catches up first, for at
+        most ``CATCH_UP_SECONDS`` each.
         """
+        if not self._currency.is_ready:
+            confirmed = await self._currency.wait_ready(CATCH_UP_SECONDS)
+            if confirmed.is_err():
+                return Err(_refuse('not_confirmed'))
         if self._store.version < request.version:
-            await self._wait_for(request.version)
+            await self._wait_for(request)
         snapshot = self._store.current
         if snapshot is None or snapshot.version < request.version:
             return Err(_refuse('snapshot_behind'))
+        if self._is_too_old():
+            return Err(_refuse('snapshot_too_old'))
         return check_call(snapshot, request, self._endpoint)
 
-    async def _wait_for(self, version: int) -> None:
-        self._catch_up.request_version(version)
+    async def _wait_for(self, request: CallRequest) -> None:
+        self._currency.request_version(request.sender, request.version)
         try:
             async with asyncio.timeout(CATCH_UP_SECONDS):
-                await self._store.wait_newer(version - 1)
+                await self._store.wait_newer(request.version - 1)
         except TimeoutError:
             return
 
+    def _is_too_old(self) -> bool:
+        if self._max_age_seconds is None:
+            return False
+        age = self._currency.age_seconds()
+        return age is None or age > self._max_age_seconds
+
 
 def check_call(
     snapshot: Snapshot, request: CallRequest, own_endpoint: str
