Confirm execution records by the source or by every data centre

Cause: the record of executions was confirmed by membership alone, so a data centre on an old version went on deciding on keys that a newer version had moved elsewhere.

Weighed: the source alone (payments stop everywhere during its outages) and peers of one data centre (misses a version that another one has read).

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
@@ -12,6 +12,7 @@
     DaemonStopped,
     DaemonStopping,
 )
+from wagtailline_daemon.execution_confirmer import ExecutionConfirmer
 from wagtailline_daemon.http_server import HttpServer, operator_config
 from wagtailline_daemon.ingress import ingress_config
 from wagtailline_daemon.operator_api import StatusBoard, build_operator_app
@@ -58,15 +59,20 @@
 
 
 def _register(base: Base, mesh: Mesh, calls: CallPath) -> None:
-    kernel = base.kernel
-    kernel.register('snapshots', base.store)
-    kernel.register('members', base.members)
-    kernel.register('gate', calls.gate)
-    kernel.register('links', mesh.links)
-    kernel.register('peer_requests', mesh.peers)
-    kernel.register('distribution', mesh.distribution)
-    kernel.register('membership', mesh.membership)
-    kernel.register('allowance', mesh.allowance)
+    services: dict[str, object] = {
+        'snapshots': base.store,
+        'members': base.members,
+        'gate': calls.gate,
+        'gate_service': calls.service,
+        'links': mesh.links,
+        'peer_requests': mesh.peers,
+        'distribution': mesh.distribution,
+        'membership': mesh.membership,
+        'allowance': mesh.allowance,
+        'execution_confirmer': ExecutionConfirmer(base.kernel, base.clock),
+    }
+    for name, service in services.items():
+        base.kernel.register(name, service)
     _register_http(base, mesh, calls)
 
 
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/gate_service.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate_service.py
@@ -37,13 +37,18 @@
 
 
 class GateService:
-    """Runs calls at the local upstream; every call passes here."""
+    """Runs calls at the local upstream; every call passes here.
+
+    ``last_keyed_call`` is the monotonic time of the last call that carried
+    an idempotency key.
+    """
 
     def __init__(self, parts: GateParts, clock: Clock) -> None:
         """Take the parts of the local gate."""
         self._parts = parts
         self._clock = clock
         self._keyed = KeyedCalls(parts.records, self._run)
+        self.last_keyed_call = float('-inf')
 
     async def __call__(
         self, request: CallRequest, body: Body
@@ -58,6 +63,7 @@
             verdict.ok_value, request, deadline, content.digest
         )
         if request.idempotency_key and not _is_idempotent(request):
+            self.last_keyed_call = self._now()
             return await self._keyed.run(
                 request, content, ticket, self._instant
             )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/gate_supervisor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate_supervisor.py
@@ -11,17 +11,14 @@
     apply_snapshot,
 )
 from wagtailline.codec import Message
-from wagtailline.executions import ExecutionRecords, Instant, Ownership
+from wagtailline.executions import Instant, Ownership
 from wagtailline.kernel import Kernel
-from wagtailline.membership import MembershipService
 from wagtailline.peer_requests import PeerRequests
 from wagtailline.ports import Clock
 from wagtailline.snapshot import Snapshot, SnapshotStore
 from wagtailline_daemon.daemon_events import SnapshotInstalled, SuspectsNoticed
 from wagtailline_daemon.events import EventLog
 
-CONFIRM_SECONDS = 0.5
-
 
 class GateSupervisor:
     """Applies snapshots to the gate and spreads notices of suspects."""
@@ -42,12 +39,9 @@
         self._store = find('snapshots', SnapshotStore).unwrap()
         self._gate = find('gate', Gate).unwrap()
         self._ownership = find('ownership', Ownership).unwrap()
-        self._records = find('executions', ExecutionRecords).unwrap()
-        self._membership = find('membership', MembershipService).unwrap()
         self._peers = find('peer_requests', PeerRequests).unwrap()
         self._peers.register(SuspectNotice, self._take_notice)
         self._run(self._follow())
-        self._run(self._confirm())
 
     async def stop(self) -> None:
         """Finish the requests in progress, then end the tasks."""
@@ -107,16 +101,6 @@
             if snapshot.is_in_service(endpoint)
         )
 
-    async def _confirm(self) -> None:
-        while True:
-            confirmed = self._membership.confirmed_at
-            if confirmed is not None and self._membership.takes_part:
-                # The wall clock of the confirmation, for suspended vms.
-                age = self._clock.monotonic() - confirmed
-                wall = self._clock.wall() - age
-                self._records.confirm(Instant(confirmed, wall))
-            await self._clock.sleep(CONFIRM_SECONDS)
-
     def _instant(self) -> Instant:
         return Instant(self._clock.monotonic(), self._clock.wall())
 
--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -4,6 +4,8 @@
 import json
 import signal
 import sys
+import time
+import uuid
 
 import aiohttp
 import pytest
@@ -120,3 +122,39 @@
     mesh.set['keys'] = [
         key for key in mesh.set['keys'] if key['client_account'] != account
     ]
+
+
+async def test_keyed_call_runs_once_over_both_daemons(mesh):
+    """A resend through another daemon must meet the same record."""
+    async with aiohttp.ClientSession() as session:
+        callers = [
+            _Caller(session, member.ports.http) for member in mesh.members
+        ]
+        await callers[0].until(200, '/desk/1', 'studio')
+        while True:
+            headers = {'Idempotency-Key': _make_key()}
+            status, body = await callers[0].send(
+                '/desk/pay', 'studio', 'POST', headers=headers, data=b'1'
+            )
+            # A gate that has just started may not know earlier keys.
+            if status == 200:
+                break
+            await asyncio.sleep(0.2)
+        for caller in callers:
+            answer = await caller.send(
+                '/desk/pay', 'studio', 'POST', headers=headers, data=b'1'
+            )
+            assert answer == (200, body)
+        key = headers['Idempotency-Key']
+        runs = [member.upstream.executions[key] for member in mesh.members]
+        assert sum(runs) == 1
+        status, _ = await callers[1].send(
+            '/desk/pay', 'studio', 'POST', headers=headers, data=b'2'
+        )
+        assert status == 422
+
+
+def _make_key():
+    milliseconds = int(time.time() * 1000)
+    tail = uuid.uuid4().hex
+    return str(uuid.UUID(f'{milliseconds:012x}7{tail[13:16]}8{tail[17:32]}'))
