--- a/packages/wagtailline/tests/test_calls.py
+++ b/packages/wagtailline/tests/test_calls.py
@@ -107,17 +107,17 @@
     assert seen['most'] <= 2 * _WINDOW
 
 
-@pytest.mark.parametrize('leaves', ['task', 'body'])
+@pytest.mark.parametrize('leaves', ['task', 'body', 'process'])
 def test_leaving_caller_cancels_the_execution(leaves):
     """Work for nobody occupies a slot of a fragile upstream."""
     ended = []
 
     async def handler(request, body):
         try:
-            if leaves == 'task':
+            if leaves != 'body':
                 await asyncio.sleep(10)
         except asyncio.CancelledError:
-            ended.append('task')
+            ended.append(leaves)
             raise
         return Ok(Answer(200, (), _endless(ended)))
 
@@ -126,12 +126,14 @@
         await asyncio.sleep(0.1)
         if leaves == 'task':
             task.cancel()
+        elif leaves == 'process':
+            network.stop_process(_NEAR)
         else:
             await task.result().unwrap().body.aclose()
         await asyncio.sleep(0.1)
+        return tuple(ended)
 
-    _run(scenario, handler)
-    assert ended == [leaves]
+    assert _run(scenario, handler) == (leaves,)
 
 
 async def _endless(ended):
