Test that a cut request body never looks whole to the gate

A mutation that ended the body instead of cancelling the call was found by the state machine only after long shrinking.

--- a/packages/wagtailline/tests/test_calls.py
+++ b/packages/wagtailline/tests/test_calls.py
@@ -231,6 +231,28 @@
     assert _run(scenario, peer=peer) == expected
 
 
+def test_cut_request_body_never_looks_whole():
+    """A part of an order that is taken for the whole books a wrong one."""
+    whole = []
+
+    async def handler(request, body):
+        whole.append(b''.join([piece async for piece in body]))
+        return Ok(Answer(200, (), WholeBody()))
+
+    async def body():
+        yield b'part'
+        await asyncio.sleep(0.01)
+        raise BodyTruncated
+
+    async def scenario(client, network):
+        refusal = (await client(_request(), body())).unwrap_err()
+        await asyncio.sleep(2)
+        return refusal
+
+    assert _run(scenario, handler) == Refusal('body_truncated', 'unknown')
+    assert whole == []
+
+
 def test_peer_that_exceeds_its_credit_is_disconnected():
     """Without the check a faulty peer fills the memory."""
 
