--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
@@ -33,7 +33,7 @@
 from wagtailline.ports import Address, LoopClock
 from wagtailline.routing import Handlers, Position, Router
 from wagtailline.snapshot import Snapshot, SnapshotStore
-from wagtailline.streams import StreamTransport
+from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
 from wagtailline_daemon._ingress_headers import digest_key
 from wagtailline_daemon.ingress import AllowanceRefusal, Ingress, ingress_config
 from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
@@ -136,7 +136,9 @@
 async def _serve_gate(ready: Connection, upstream: int) -> None:
     client = await make_upstream_client(upstream)
     server = CallServer(client, make_hello('far-0'))
-    transport = StreamTransport(make_codec())
+    transport = StreamTransport(
+        make_codec(), max_frame_bytes=MAX_CALL_FRAME_BYTES
+    )
     listener = await transport.serve(Address(HOST, 0), server.accept)
     ready.send(listener.address.port)
     await asyncio.Event().wait()
@@ -146,7 +148,7 @@
     own = await make_upstream_client(ports.upstream)
     address = Address(HOST, ports.gate)
     remote = CallClient(
-        StreamTransport(make_codec()),
+        make_transport(),
         make_hello('near-0'),
         lambda endpoint: address,
     )
@@ -209,6 +211,7 @@
     return Hello(1, endpoint, endpoint, 'dc', 1, 'calls')
 
 
-def make_codec() -> Codec:
-    """Return the codec of call connections."""
-    return Codec({**CONNECTION_KINDS, **CALL_KINDS})
+def make_transport() -> StreamTransport:
+    """Return the transport of call connections."""
+    codec = Codec({**CONNECTION_KINDS, **CALL_KINDS})
+    return StreamTransport(codec, max_frame_bytes=MAX_CALL_FRAME_BYTES)
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/call_cost.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/call_cost.py
@@ -23,7 +23,6 @@
 )
 from wagtailline.ports import Address, LoopClock
 from wagtailline.routing import Handlers, Position, Router
-from wagtailline.streams import StreamTransport
 from wagtailline_daemon.ingress import Ingress
 from wagtailline_lab.bench import _latency_servers as parts
 from wagtailline_lab.bench.latency import servers
@@ -88,7 +87,7 @@
 
 async def _measure_remote(gate: int) -> None:
     client = CallClient(
-        StreamTransport(parts.make_codec()),
+        parts.make_transport(),
         parts.make_hello('near-0'),
         lambda endpoint: Address(parts.HOST, gate),
     )
--- a/packages/wagtailline/src/wagtailline/streams.py
+++ b/packages/wagtailline/src/wagtailline/streams.py
@@ -18,6 +18,8 @@
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 1024 * 1024
+# Limit for connections that carry only calls.
+MAX_CALL_FRAME_BYTES = 256 * 1024
 DIAL_TIMEOUT_SECONDS = 1.0
 # Above this many unsent bytes a sender waits for the peer to read.
 WRITE_HIGH_WATER_BYTES = 256 * 1024
@@ -38,12 +40,13 @@
         self,
         codec: Codec,
         observe_fault: FaultObserver,
-        on_open: Callable[['StreamChannel'], None] | None = None,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
-        """Become usable when the connection is made."""
+        """Become usable when the connection is made; then call on_open."""
+        self.on_open: Callable[[StreamChannel], None] | None = None
         self._codec = codec
         self._observe_fault = observe_fault
-        self._on_open = on_open
+        self._max_frame_bytes = max_frame_bytes
         self._transport: asyncio.Transport | None = None
         self._unparsed = b''
         self._frames: deque[bytes] = deque()
@@ -57,8 +60,8 @@
         """Take over an open connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
-        if self._on_open is not None:
-            self._on_open(self)
+        if self.on_open is not None:
+            self.on_open(self)
 
     def data_received(self, data: bytes) -> None:
         """Take bytes and keep the frames that are complete."""
@@ -67,7 +70,7 @@
         while len(data) - start >= LENGTH_BYTES:
             begin = start + LENGTH_BYTES
             length = int.from_bytes(data[start:begin], 'big')
-            if length > MAX_FRAME_BYTES:
+            if length > self._max_frame_bytes:
                 self._reject(MalformedFrame(f'frame of {length} bytes'))
                 return
             if len(data) - begin < length:
@@ -178,9 +181,16 @@
     """Dials and serves TCP."""
 
     def __init__(
-        self, codec: Codec, observe_fault: FaultObserver = _ignore_fault
+        self,
+        codec: Codec,
+        observe_fault: FaultObserver = _ignore_fault,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
-        """Use one codec for all channels."""
+        """Use one codec for all channels.
+
+        A peer that announces a longer frame is disconnected.
+        """
+        self._max_frame_bytes = max_frame_bytes
         self._codec = codec
         self._observe_fault = observe_fault
         self._tasks: set[asyncio.Task[None]] = set()
@@ -208,9 +218,9 @@
             task.add_done_callback(self._tasks.discard)
 
         def make_channel() -> StreamChannel:
-            return StreamChannel(
-                self._codec, self._observe_fault, on_open=run_handler
-            )
+            channel = self._make_channel()
+            channel.on_open = run_handler
+            return channel
 
         server = await asyncio.get_running_loop().create_server(
             make_channel, address.host, address.port
@@ -218,7 +228,9 @@
         return StreamListener(server)
 
     def _make_channel(self) -> StreamChannel:
-        return StreamChannel(self._codec, self._observe_fault)
+        return StreamChannel(
+            self._codec, self._observe_fault, self._max_frame_bytes
+        )
 
 
 async def _run_handler(handler: ChannelHandler, channel: StreamChannel) -> None:
--- a/packages/wagtailline/tests/test_streams.py
+++ b/packages/wagtailline/tests/test_streams.py
@@ -7,7 +7,7 @@
 
 from wagtailline.codec import Codec, MalformedFrame
 from wagtailline.ports import Address, ChannelClosed, DialFailed
-from wagtailline.streams import MAX_FRAME_BYTES, StreamTransport
+from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
 
 
 class Note(NamedTuple):
@@ -17,7 +17,7 @@
 _CODEC = Codec({16: Note})
 
 
-def _run(scenario):
+def _run(scenario, **limits):
     async def serve():
         faults = []
         received = asyncio.Queue()
@@ -29,7 +29,7 @@
             finally:
                 received.put_nowait('end')
 
-        transport = StreamTransport(_CODEC, faults.append)
+        transport = StreamTransport(_CODEC, faults.append, **limits)
         listener = await transport.serve(Address('127.0.0.1', 0), collect)
         async with asyncio.timeout(10):
             await scenario(listener.address, transport, received)
@@ -63,7 +63,7 @@
 
 
 @pytest.mark.parametrize(
-    'data', [(MAX_FRAME_BYTES + 1).to_bytes(4, 'big'), b'\0\0\0\1\xc1']
+    'data', [(MAX_CALL_FRAME_BYTES + 1).to_bytes(4, 'big'), b'\0\0\0\1\xc1']
 )
 def test_faulty_frame_closes_its_connection(data):
     """A hostile length must not reserve memory."""
@@ -74,7 +74,8 @@
         assert await reader.read() == b''
         assert await received.get() == 'end'
 
-    assert [type(one) for one in _run(scenario)] == [MalformedFrame]
+    faults = _run(scenario, max_frame_bytes=MAX_CALL_FRAME_BYTES)
+    assert [type(one) for one in faults] == [MalformedFrame]
 
 
 def test_sender_waits_for_a_slow_receiver():
