--- a/packages/wagtailline/tests/test_calls.py
+++ b/packages/wagtailline/tests/test_calls.py
@@ -30,6 +30,7 @@
 _NEAR = Address('127.0.0.1', 1)
 _FAR = Address('127.0.0.1', 2)
 _WINDOW = 64 * 1024
+_PIECE = 16 * 1024
 
 
 def _hello(endpoint):
@@ -69,7 +70,7 @@
     return run_virtual(main())
 
 
-async def _pieces(count, size=16 * 1024):
+async def _pieces(count, size=_PIECE):
     for _ in range(count):
         yield bytes(size)
 
@@ -106,17 +107,17 @@
     assert seen['most'] <= 2 * _WINDOW
 
 
-@pytest.mark.parametrize('leaves', ['task', 'body'])
+@pytest.mark.parametrize('leaves', ['task', 'body', 'process'])
 def test_leaving_caller_cancels_the_execution(leaves):
     """Work for nobody occupies a slot of a fragile upstream."""
     ended = []
 
     async def handler(request, body):
         try:
-            if leaves == 'task':
+            if leaves != 'body':
                 await asyncio.sleep(10)
         except asyncio.CancelledError:
-            ended.append('task')
+            ended.append(leaves)
             raise
         return Ok(Answer(200, (), _endless(ended)))
 
@@ -125,12 +126,14 @@
         await asyncio.sleep(0.1)
         if leaves == 'task':
             task.cancel()
+        elif leaves == 'process':
+            network.stop_process(_NEAR)
         else:
             await task.result().unwrap().body.aclose()
         await asyncio.sleep(0.1)
+        return tuple(ended)
 
-    _run(scenario, handler)
-    assert ended == [leaves]
+    assert _run(scenario, handler) == (leaves,)
 
 
 async def _endless(ended):
@@ -228,6 +231,52 @@
     assert _run(scenario, peer=peer) == expected
 
 
+def test_cut_request_body_never_looks_whole():
+    """A part of an order that is taken for the whole books a wrong one."""
+    whole = []
+
+    async def handler(request, body):
+        whole.append(b''.join([piece async for piece in body]))
+        return Ok(Answer(200, (), WholeBody()))
+
+    async def body():
+        yield b'part'
+        await asyncio.sleep(0.01)
+        raise BodyTruncated
+
+    async def scenario(client, network):
+        refusal = (await client(_request(), body())).unwrap_err()
+        await asyncio.sleep(2)
+        return refusal
+
+    assert _run(scenario, handler) == Refusal('body_truncated', 'unknown')
+    assert whole == []
+
+
+def test_peer_that_exceeds_its_credit_is_disconnected():
+    """Without the check a faulty peer fills the memory."""
+
+    async def peer(channel):
+        await channel.receive()
+        await channel.send(AnswerStart(1, 200, (), 0, b'', False))
+        for index in range(5):
+            await channel.send(AnswerBody(1, index * _PIECE, bytes(_PIECE)))
+        await asyncio.sleep(0.1)
+        await channel.send(AnswerEnd(1, 5 * _PIECE, True))
+        await channel.receive()
+
+    async def scenario(client, network):
+        answer = (await client(_request(), WholeBody())).unwrap()
+        await asyncio.sleep(0.5)
+        received = 0
+        with pytest.raises(BodyTruncated):
+            async for content in answer.body:
+                received += len(content)
+        return received
+
+    assert _run(scenario, peer=peer) <= _WINDOW
+
+
 def test_repeated_start_runs_once():
     """A repeated message must not repeat a payment."""
     runs = []
