--- a/packages/wagtailline/src/wagtailline/admission/_latency.py
+++ b/packages/wagtailline/src/wagtailline/admission/_latency.py
@@ -4,6 +4,7 @@
 
 # Geometric means are compared, because latencies have long tails.
 _SAMPLES_PER_MEAN = 16
+_MIN_SAMPLES = 4
 _MIN_LATENCY_SECONDS = 1e-5
 # The best mean of the present and the last epoch counts, so that an upstream
 # that stays slower for good is accepted within two epochs.
@@ -26,9 +27,14 @@
         self.count += 1
         self.total += sample
         if self.count == _SAMPLES_PER_MEAN:
+            self.settle()
+
+    def settle(self) -> None:
+        """End the mean in progress; one of too few samples is dropped."""
+        if self.count >= _MIN_SAMPLES:
             self.best = min(self.best, self.total / self.count)
-            self.count = 0
-            self.total = float(0)
+        self.count = 0
+        self.total = float(0)
 
     def reference(self) -> float:
         """Return the best mean; of fewer samples before there is one."""
@@ -66,6 +72,15 @@
             return None
         return math.exp(stats.reference())
 
+    def settle(self) -> None:
+        """Keep samples under different limits out of one mean.
+
+        A first mean that held samples of an overloaded upstream would let
+        the limit grow above what it can bear.
+        """
+        for stats in self._kinds.values():
+            stats.settle()
+
     def forget(self) -> None:
         """Begin again, as after a restart of the upstream."""
         self._kinds.clear()
--- a/packages/wagtailline/src/wagtailline/admission/_limit.py
+++ b/packages/wagtailline/src/wagtailline/admission/_limit.py
@@ -102,11 +102,13 @@
         elif self._answers >= wanted:
             self.current = min(self.current + 1, self._slots)
             self._patience = max(self._patience // 2, 1)
+            self._baseline.settle()
             self._open_window()
 
     def _decrease(self, now: float) -> None:
         self._decreased_at = now
         self._patience = min(self._patience * 2, _MAX_PATIENCE)
+        self._baseline.settle()
         self._open_window()
 
     def _open_window(self) -> None:
--- a/packages/wagtailline/src/wagtailline/admission/_queue.py
+++ b/packages/wagtailline/src/wagtailline/admission/_queue.py
@@ -14,6 +14,8 @@
 
 # Accounts remembered after they left; others start with credit.
 _MAX_LEFT = 1024
+# Requests of a burst that an account may send ahead of its share.
+_MAX_CREDIT = 4
 
 
 class Waiter:
@@ -50,8 +52,8 @@
 class FairQueue:
     """Deficit round robin over accounts by their weights.
 
-    An account whose line is empty goes on collecting credit for at most one
-    request. Without that, a light account that seldom sends would wait for
+    An account whose line is empty goes on collecting credit for a few
+    requests. Without that, a light account that seldom sends would wait for
     several rounds of the others each time.
     """
 
@@ -88,7 +90,7 @@
             line = self._ring[0]
             if not line.visited:
                 line.visited = True
-                line.deficit = min(line.deficit, self._cost) + line.weight
+                line.deficit += line.weight
             if line.deficit >= self._cost:
                 line.deficit -= self._cost
                 self._rounds += self._cost / self._total_weight
@@ -108,15 +110,17 @@
 
     def ahead_of(self, account: str, weight: int) -> float:
         """Estimate how many requests run before a new one of an account."""
-        own = self._lines.get(account)
-        before = len(own.waiters) if own else 0
-        others = self._others_ahead(own, before + 1, weight)
-        return before + others
+        line = self._lines.get(account)
+        if line is not None:
+            return self._ahead(line, len(line.waiters))
+        newcomer = _Line(account, weight)
+        newcomer.deficit = self._credit(newcomer)
+        return self._ahead(newcomer, 0)
 
     def positions(self) -> tuple[tuple[Waiter, float], ...]:
         """Return each request with those estimated to run before it."""
         return tuple(
-            (waiter, at + self._others_ahead(line, at + 1, line.weight))
+            (waiter, self._ahead(line, at))
             for line in self._ring
             for at, waiter in enumerate(line.waiters)
         )
@@ -150,14 +154,22 @@
         """Return the waiting requests, by account."""
         return tuple(one for line in self._ring for one in line.waiters)
 
-    def _others_ahead(
-        self, own: _Line | None, turns: int, weight: int
-    ) -> float:
-        return sum(
-            min(len(line.waiters), turns * line.weight / max(weight, 1))
-            for line in self._ring
-            if line is not own
+    def _ahead(self, line: _Line, before: int) -> float:
+        cost = max(self._cost, line.weight)
+        needed = (before + 1) * cost - line.deficit
+        rounds = max(needed / line.weight, 1)
+        others = sum(
+            min(len(one.waiters), rounds * one.weight / cost)
+            for one in self._ring
+            if one is not line
         )
+        return before + others
+
+    def _credit(self, line: _Line) -> float:
+        rounds, deficit = self._left.get(line.account, (-math.inf, 0))
+        earned = (self._rounds - rounds) * line.weight
+        cost = max(self._cost, line.weight)
+        return min(deficit + earned, cost * _MAX_CREDIT)
 
     def _add_line(self, account: str, weight: int) -> _Line:
         line = _Line(account, weight)
@@ -165,9 +177,8 @@
         self._ring.append(line)
         self._cost = max(self._cost, line.weight)
         self._total_weight += line.weight
-        rounds, deficit = self._left.pop(account, (-math.inf, 0))
-        earned = (self._rounds - rounds) * line.weight
-        line.deficit = min(deficit + earned, self._cost)
+        line.deficit = self._credit(line)
+        self._left.pop(account, None)
         return line
 
     def _shorten(self, line: _Line) -> None:
--- a/packages/wagtailline/src/wagtailline/admission/_upstream.py
+++ b/packages/wagtailline/src/wagtailline/admission/_upstream.py
@@ -19,6 +19,8 @@
 _SERVER_ERRORS = 500
 # Weight of a new sample in the mean time that a slot is held.
 _HOLD_GAIN = 0.1
+# One request that takes long may just be a large one.
+_MIN_STALLED = 2
 Fingerprints = tuple[bytes, ...]
 
 
@@ -64,7 +66,7 @@
         if oldest is None or not self._is_stalled(oldest, now):
             return
         stalled = sum(self._is_stalled(slot, now) for slot in in_progress)
-        if stalled * 2 > len(in_progress):
+        if stalled >= _MIN_STALLED and stalled * 2 > len(in_progress):
             self.limit.overloaded(oldest.started, now)
 
     def _answered(
--- /dev/null
+++ b/packages/wagtailline/tests/executions/test_records.py
@@ -0,0 +1,245 @@
+"""Guards the rule that a key runs at most once."""
+
+from uuid import UUID
+
+import pytest
+
+from wagtailline.executions import (
+    AnswerAgain,
+    ExecutionRecords,
+    ExecutionSettings,
+    InProgress,
+    Instant,
+    KeyReused,
+    NotRunReason,
+    OutcomeUnknown,
+    Ownership,
+    RefusedNotRun,
+    Run,
+    StoredAnswer,
+    UnknownReason,
+    parse_key_time,
+    placement_key,
+)
+from wagtailline.placement import owner
+
+_EPOCH = 1_700_000_000.0
+_ANSWER = StoredAnswer(201, ((b'a', b'b'),), b'done')
+_SETTLED = 100.0
+
+
+def make_key(at: float, number: int = 0) -> str:
+    """Return a UUID version 7 of a time in seconds after the epoch."""
+    milliseconds = round((_EPOCH + at) * 1000)
+    return str(UUID(int=(milliseconds << 80) | 0x7 << 76 | 1 << 63 | number))
+
+
+def instant(at: float) -> Instant:
+    return Instant(at, _EPOCH + at)
+
+
+class Position:
+    """Records of the only position of a service, ready at 100 s."""
+
+    def __init__(self, **settings):
+        self.ownership = Ownership('here')
+        self.ownership.update(['here'], instant(0))
+        self.records = ExecutionRecords(
+            self.ownership, ExecutionSettings(**settings)
+        )
+
+    def begin(self, key, at=_SETTLED, account='studio', body=b'1'):
+        self.records.confirm(instant(at))
+        return self.records.begin(account, key, body, instant(at))
+
+    def finish(self, key, at=_SETTLED, answer=_ANSWER):
+        with self.begin(key, at).execution as execution:
+            execution.mark_sent()
+            execution.complete(answer)
+
+
+def test_resend_gets_the_first_answer():
+    position = Position()
+    key = make_key(99)
+    run = position.begin(key)
+    assert isinstance(run, Run)
+    waiting = position.begin(key)
+    assert isinstance(waiting, InProgress)
+    assert not waiting.ended.is_set()
+    run.execution.mark_sent()
+    run.execution.complete(_ANSWER)
+    run.execution.close()
+    assert waiting.ended.is_set()
+    assert position.begin(key) == AnswerAgain(_ANSWER)
+    assert position.begin(key, body=b'2') == KeyReused()
+    assert isinstance(position.begin(key, account='other'), Run)
+
+
+def test_run_that_was_sent_and_lost_never_runs_again():
+    position = Position()
+    with position.begin(make_key(99)).execution as execution:
+        execution.mark_sent()
+    assert position.begin(make_key(99)) == OutcomeUnknown(
+        UnknownReason.ENDED_WITHOUT_ANSWER
+    )
+
+
+@pytest.mark.parametrize('sent', [False, True])
+def test_run_that_never_began_may_run(sent):
+    """Treating a refused connection as a run would lose the payment."""
+    position = Position()
+    with position.begin(make_key(99)).execution as execution:
+        if sent:
+            execution.mark_sent()
+            execution.mark_not_begun()
+    assert isinstance(position.begin(make_key(99)), Run)
+
+
+def test_key_older_than_the_takeover_is_unknown():
+    """A predecessor may have run what this record does not know."""
+    position = Position()
+    unknown = OutcomeUnknown(UnknownReason.BEFORE_TAKEOVER)
+    assert position.begin(make_key(11.9)) == unknown
+    assert isinstance(position.begin(make_key(12.1)), Run)
+    restarted = Position()
+    restarted.ownership = Ownership('here')
+    restarted.ownership.update(['here'], instant(200))
+    restarted.records = ExecutionRecords(restarted.ownership)
+    assert restarted.begin(make_key(199), at=201) == unknown
+
+
+def test_only_keys_that_moved_become_unknown():
+    """A withdrawn position elsewhere must not void the records here."""
+    position = Position()
+    position.ownership.update(['here', 'there'], instant(0.5))
+    keys = [make_key(95, number) for number in range(64)]
+    placed = {key: placement_key('studio', key) for key in keys}
+    kept = [
+        key for key in keys if owner(placed[key], ['here', 'there']) == 'here'
+    ]
+    moved = [key for key in keys if key not in kept]
+    assert kept and moved
+    position.finish(kept[0])
+    assert position.begin(moved[0]) == RefusedNotRun(
+        NotRunReason.NOT_OWNER, earlier_unknown=True
+    )
+    position.ownership.update(['here'], instant(101))
+    assert position.begin(kept[0], at=102) == AnswerAgain(_ANSWER)
+    assert isinstance(position.begin(kept[1], at=102), Run)
+    assert isinstance(position.begin(moved[0], at=102), OutcomeUnknown)
+    position.ownership.update([], instant(103))
+    position.ownership.update(['here'], instant(104))
+    assert isinstance(position.begin(kept[2], at=105), OutcomeUnknown)
+
+
+def test_stale_snapshot_runs_nothing():
+    """A former owner that still runs keys breaks the takeover rule."""
+    position = Position()
+    position.finish(make_key(99))
+    for at in (instant(110.1), Instant(100.5, _EPOCH + 110.1)):
+        begun = position.records.begin('studio', make_key(100), b'1', at)
+        assert begun == RefusedNotRun(
+            NotRunReason.SNAPSHOT_STALE, earlier_unknown=True
+        )
+        known = position.records.begin('studio', make_key(99), b'1', at)
+        assert known == AnswerAgain(_ANSWER)
+
+
+def test_key_ahead_of_the_clock_is_refused():
+    """Its time would pass a later takeover although it ran before it."""
+    begun = Position().begin(make_key(102.5))
+    assert begun == RefusedNotRun(NotRunReason.KEY_FROM_FUTURE)
+
+
+def test_key_without_time_waits_for_the_resend_window():
+    position = Position()
+    unknown = OutcomeUnknown(UnknownReason.NO_KEY_TIME)
+    assert position.begin('order-1', at=611) == unknown
+    position.finish('order-1', at=613)
+    assert position.begin('order-1', at=614) == AnswerAgain(_ANSWER)
+
+
+def test_evicted_key_is_unknown():
+    """An eviction that forgets without a trace allows a second run."""
+    position = Position(max_records_per_account=3)
+    for number in range(4):
+        position.finish(make_key(90 + number))
+    assert len(position.records) == 3
+    forgotten = OutcomeUnknown(UnknownReason.FORGOTTEN)
+    assert position.begin(make_key(90)) == forgotten
+    assert position.begin(make_key(93)) == AnswerAgain(_ANSWER)
+    assert isinstance(position.begin(make_key(90), account='other'), Run)
+
+
+def test_evicted_key_without_time_is_unknown():
+    position = Position(max_records_per_account=1)
+    position.finish('order-1', at=700)
+    position.finish(make_key(700), at=701)
+    unknown = OutcomeUnknown(UnknownReason.NO_KEY_TIME)
+    assert position.begin('order-1', at=702) == unknown
+    assert isinstance(position.begin('order-2', at=1302), Run)
+
+
+def test_dropped_account_keeps_what_it_forgot():
+    position = Position(max_accounts=1)
+    position.finish(make_key(90))
+    assert isinstance(position.begin(make_key(95), account='other'), Run)
+    assert isinstance(position.begin(make_key(90)), OutcomeUnknown)
+    assert len(position.records) == 1
+    full = RefusedNotRun(NotRunReason.RECORDS_FULL)
+    assert position.begin(make_key(96)) == full
+
+
+def test_executions_in_progress_are_never_evicted():
+    position = Position(max_records=2)
+    begun = [position.begin(make_key(90 + number)) for number in range(2)]
+    assert all(isinstance(one, Run) for one in begun)
+    full = RefusedNotRun(NotRunReason.RECORDS_FULL)
+    assert position.begin(make_key(95)) == full
+    assert isinstance(position.begin(make_key(90)), InProgress)
+
+
+def test_flood_of_one_account_evicts_its_own_records():
+    position = Position(max_records=8)
+    position.finish(make_key(90))
+    for number in range(30):
+        run = position.begin(make_key(91 + number / 1000), account='flood')
+        run.execution.mark_sent()
+        run.execution.complete(_ANSWER)
+    assert len(position.records) == 8
+    assert position.begin(make_key(90)) == AnswerAgain(_ANSWER)
+
+
+def test_large_answers_are_known_without_their_bodies():
+    position = Position(max_body_bytes=1000, max_total_body_bytes=1500)
+    large = StoredAnswer(200, (), b'x' * 1001)
+    position.finish(make_key(90), answer=large)
+    bare = AnswerAgain(StoredAnswer(200, (), None))
+    assert position.begin(make_key(90)) == bare
+    medium = StoredAnswer(200, (), b'x' * 600)
+    position.finish(make_key(91), answer=medium)
+    position.finish(make_key(92), answer=medium)
+    assert position.begin(make_key(91)) == bare
+    assert position.begin(make_key(92)) == AnswerAgain(medium)
+
+
+@pytest.mark.parametrize(
+    'key',
+    [
+        '',
+        'order',
+        '018bcfe5-6800-4000-8000-000000000000',
+        '018bcfe5-6800-7000-c000-000000000000',
+        '{018bcfe5-6800-7000-8000-000000000000}',
+        '018bcfe568007000800000000000000000000',
+    ],
+)
+def test_other_keys_have_no_time(key):
+    """A misread time decides whether a payment runs twice."""
+    assert parse_key_time(key) is None
+
+
+def test_time_of_the_example_in_rfc_9562():
+    assert parse_key_time('017F22E2-79B0-7CC3-98C4-DC0C0C07398F') == (
+        1645557742.000
+    )
