--- a/packages/wagtailline/src/wagtailline/admission/_deaths.py
+++ b/packages/wagtailline/src/wagtailline/admission/_deaths.py
@@ -1,5 +1,6 @@
 """Tells the death of an upstream from the loss of one connection."""
 
+from collections import deque
 from collections.abc import Iterable
 
 from wagtailline.admission._slot import Slot
@@ -10,6 +11,9 @@
 # before it died.
 _LATE_ANSWER_SECONDS = 0.05
 _MIN_LOST = 2
+# A caller may leave before its request brings the upstream down.
+_LEFT_SECONDS = 2.0
+_MAX_LEFT = 16
 
 
 class DeathWatch:
@@ -17,7 +21,8 @@
 
     A death is the loss of all of a group of at least two, of a single
     request on a connection that was not idle before, or of any request
-    when a refused connection follows.
+    when a refused connection follows. Requests whose callers left shortly
+    before count among those lost.
     """
 
     def __init__(self) -> None:
@@ -25,6 +30,7 @@
         self._opened_at = float(0)
         self._pending: set[Slot] = set()
         self._lost: list[bytes] = []
+        self._left: deque[tuple[float, bytes]] = deque(maxlen=_MAX_LEFT)
         self._sure = False
 
     def reset(
@@ -41,7 +47,7 @@
             self._open(others, now)
         self._lost.append(slot.ticket.fingerprint)
         self._sure = self._sure or not idle
-        return self._conclude()
+        return self._conclude(now)
 
     def answered(self, slot: Slot, now: float) -> tuple[bytes, ...]:
         """Note an answer, which shows that the process lives."""
@@ -49,23 +55,24 @@
             return ()
         self._pending.discard(slot)
         if now - self._opened_at > _LATE_ANSWER_SECONDS:
-            self._close()
+            self._forget()
             return ()
         self._sure = False
-        return self._conclude()
+        return self._conclude(now)
 
-    def left(self, slot: Slot) -> tuple[bytes, ...]:
+    def left(self, slot: Slot, now: float) -> tuple[bytes, ...]:
         """Note a request that ended without a sign of the upstream."""
+        self._left.append((now, slot.ticket.fingerprint))
         if slot not in self._pending:
             return ()
         self._pending.discard(slot)
-        return self._conclude()
+        return self._conclude(now)
 
     def refused(self, now: float) -> tuple[bytes, ...]:
         """Note a refused connection; return the requests of the death."""
-        if not self._lost or self._is_over(now):
-            return ()
-        return self._close()
+        if self._is_over(now):
+            self._forget()
+        return self._close(now)
 
     def _is_over(self, now: float) -> bool:
         return now - self._opened_at > _GROUP_SECONDS
@@ -76,20 +83,23 @@
         self._lost = []
         self._sure = False
 
-    def _conclude(self) -> tuple[bytes, ...]:
+    def _conclude(self, now: float) -> tuple[bytes, ...]:
         if self._pending:
             return ()
         if len(self._lost) >= _MIN_LOST or self._sure:
-            return self._close()
+            return self._close(now)
         return ()
 
-    def _close(self) -> tuple[bytes, ...]:
-        found = tuple(dict.fromkeys(self._lost))
-        found += tuple(
-            slot.ticket.fingerprint
-            for slot in self._pending
-            if slot.ticket.fingerprint not in found
-        )
+    def _close(self, now: float) -> tuple[bytes, ...]:
+        found = [
+            *self._lost,
+            *(slot.ticket.fingerprint for slot in self._pending),
+            *(one for at, one in self._left if now - at <= _LEFT_SECONDS),
+        ]
+        self._left.clear()
+        self._forget()
+        return tuple(dict.fromkeys(found))
+
+    def _forget(self) -> None:
         self._pending = set()
         self._lost = []
-        return found
--- a/packages/wagtailline/src/wagtailline/admission/_dispatcher.py
+++ b/packages/wagtailline/src/wagtailline/admission/_dispatcher.py
@@ -122,9 +122,10 @@
             if refusal is not None:
                 self._remove(waiter)
                 waiter.end(Err(refusal))
-            elif is_suspect(waiter.ticket):
-                self._remove(waiter)
-                self._push_trial(waiter)
+        for queued in self._queue.waiters():
+            if is_suspect(queued.ticket):
+                self._queue.remove(queued)
+                self._push_trial(queued)
 
     def shed(self, now: float) -> None:
         """Refuse what cannot start in time under a lowered limit."""
--- a/packages/wagtailline/src/wagtailline/admission/_upstream.py
+++ b/packages/wagtailline/src/wagtailline/admission/_upstream.py
@@ -13,6 +13,7 @@
     ResetBeforeFirstByte,
     ResetLater,
     TimedOut,
+    Unused,
 )
 from wagtailline.admission._slot import Slot
 
@@ -56,9 +57,14 @@
                 return self._reset(slot, others, now, idle)
             case ResetLater():
                 return self._reset(slot, others, now, idle=False)
-            case RefusedByUpstream() | TimedOut():
+            case RefusedByUpstream():
                 self.limit.overloaded(slot.started, now)
-        return self._watch.left(slot)
+                return self._watch.answered(slot, now)
+            case TimedOut():
+                self.limit.overloaded(slot.started, now)
+            case Unused():
+                return ()
+        return self._watch.left(slot, now)
 
     def check_stall(self, in_progress: Collection[Slot], now: float) -> None:
         """Lower the limit when most requests are unanswered for long."""
--- a/packages/wagtailline/tests/admission/test_suspects.py
+++ b/packages/wagtailline/tests/admission/test_suspects.py
@@ -9,6 +9,7 @@
     ADMISSION_KINDS,
     Answered,
     Cancelled,
+    ConnectionRefused,
     Gate,
     GateIdentity,
     ResetBeforeFirstByte,
@@ -169,6 +170,27 @@
     run_virtual(scenario())
 
 
+def test_request_whose_caller_left_before_the_death_is_a_suspect():
+    """A caller with a short timeout would crash upstreams without end."""
+
+    async def scenario():
+        notices = []
+        gate = Gate(
+            GateIdentity('e0', 1),
+            6,
+            LoopClock(0),
+            Random(1),
+            observe_notice=notices.append,
+        )
+        slot = (await gate.admit(Ticket('a', 1, 9, b'poison'))).ok_value
+        slot.release(Cancelled())
+        slot = (await gate.admit(Ticket('a', 1, 9, b'other'))).ok_value
+        slot.release(ConnectionRefused())
+        assert [one.fingerprints for one in notices] == [(b'poison',)]
+
+    run_virtual(scenario())
+
+
 def test_suspect_runs_alone_for_a_bounded_time():
     async def scenario():
         service = Service(1)
--- /dev/null
+++ b/packages/wagtailline/tests/test_at_most_once.py
@@ -0,0 +1,370 @@
+"""Guards at-most-once execution across resends, crashes and takeovers.
+
+Several daemons, each a gate with records, run keyed requests while they
+crash at any step, restart, are replaced or cut off. The oracle counts the
+executions of each key at the upstream models.
+"""
+
+import asyncio
+from random import Random
+from typing import NamedTuple
+from uuid import UUID
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    Bundle,
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from result import Ok
+
+from wagtailline.admission import (
+    Answered,
+    Cancelled,
+    ConnectionRefused,
+    Gate,
+    GateIdentity,
+    Ticket,
+    Unused,
+)
+from wagtailline.executions import (
+    AnswerAgain,
+    ExecutionRecords,
+    ExecutionSettings,
+    InProgress,
+    Instant,
+    Ownership,
+    RefusedNotRun,
+    Run,
+    StoredAnswer,
+    placement_key,
+)
+from wagtailline.placement import owner
+from wagtailline.ports import LoopClock
+from wagtailline_lab.upstream_model import (
+    UpstreamModel,
+    UpstreamSettings,
+    Work,
+)
+from wagtailline_lab.virtual import new_virtual_loop
+
+_EPOCH = 1_700_000_000
+_POSITIONS = ('e0', 'e1', 'e2')
+_SETS = (_POSITIONS, _POSITIONS, ('e0', 'e1'), ('e2',))
+_STEPS = ('arrived', 'begun', 'admitted', 'marked', 'sent', 'answered')
+_FAULTS = ('none', 'none', 'daemon', 'upstream', 'caller')
+_WINDOW = 600
+_SLOTS = 2
+_SETTINGS = ExecutionSettings(max_records_per_account=3, max_records=6)
+
+
+class RequestKey(NamedTuple):
+    account: str
+    key: str
+    timed: bool
+
+
+class Fault(NamedTuple):
+    kind: str
+    step: str
+
+
+class Plan(NamedTuple):
+    """How a request is sent, what fails then, and how long that is left."""
+
+    to_owner: bool
+    at: int
+    copies: int
+    fault: Fault
+    seconds: float
+
+
+_PLANS = st.builds(
+    Plan,
+    st.sampled_from((True, True, True, False)),
+    st.sampled_from((0, 0, 0, 0, 0, 1, 2)),
+    st.integers(1, 3),
+    st.builds(Fault, st.sampled_from(_FAULTS), st.sampled_from(_STEPS)),
+    st.sampled_from((0, 0.004, 0.02, 0.3, 0.3, 1)),
+)
+
+
+class MachineClock(LoopClock):
+    """Clock of a loop that does not run between two steps."""
+
+    def __init__(self, loop, offset):
+        super().__init__(offset)
+        self.loop = loop
+
+    def monotonic(self):
+        return self.loop.time()
+
+
+class Daemon:
+    """One process at a position; its upstream outlives it."""
+
+    def __init__(self, position, incarnation, model, clock):
+        self.position = position
+        self.model = model
+        self.clock = clock
+        self.connected = True
+        self.alive = True
+        self.version = -1
+        self.tasks = set()
+        self.ownership = Ownership(position)
+        self.records = ExecutionRecords(self.ownership, _SETTINGS)
+        self.gate = Gate(
+            GateIdentity(position, incarnation), _SLOTS, self.clock, Random(1)
+        )
+
+    def now(self):
+        return Instant(self.clock.monotonic(), self.clock.wall())
+
+    def follow(self, version, positions):
+        if not self.connected or not self.alive:
+            return
+        if self.version < version:
+            self.version = version
+            self.ownership.update(positions, self.now())
+            (
+                self.gate.resume
+                if self.position in positions
+                else self.gate.drain
+            )('out of service')
+        self.records.confirm(self.now())
+
+    def kill(self):
+        self.alive = False
+        self.gate.close()
+        for task in self.tasks:
+            task.cancel()
+
+
+class AtMostOnce(RuleBasedStateMachine):
+    keys = Bundle('keys')
+
+    def __init__(self):
+        super().__init__()
+        self.loop = new_virtual_loop()
+        asyncio.set_event_loop(self.loop)
+        self.random = Random(7)
+        self.version = 0
+        self.positions = _POSITIONS
+        self.made = 0
+        self.attempts = {}
+        self.first_sent = {}
+        self.ended = []
+        self.loop.run_until_complete(self._build())
+
+    async def _build(self):
+        self.models = {
+            name: UpstreamModel(Random(at), UpstreamSettings(slots=_SLOTS))
+            for at, name in enumerate(_POSITIONS)
+        }
+        self.daemons = [self._start(name) for name in _POSITIONS]
+        await self._advance(13)
+
+    def _start(self, position):
+        self.made += 1
+        clock = MachineClock(self.loop, _EPOCH + self.random.uniform(-1, 1))
+        return Daemon(position, self.made, self.models[position], clock)
+
+    async def _advance(self, seconds):
+        while seconds > 0:
+            for daemon in self.daemons:
+                daemon.follow(self.version, self.positions)
+            await asyncio.sleep(min(seconds, 1))
+            seconds -= 1
+
+    @rule(
+        target=keys,
+        settle=st.sampled_from((13, 13, 13, 0.5)),
+        account=st.sampled_from('aab'),
+        ahead=st.sampled_from((0, 0, 0, 0, 0, 1.5, 9, -1, -14, -100)),
+        timed=st.sampled_from((True, True, True, True, False)),
+        plan=_PLANS,
+    )
+    def send_new(self, settle, account, ahead, timed, plan):
+        self.advance(settle)
+        self.made += 1
+        if timed:
+            at = max(_EPOCH + self.loop.time() + ahead, 0)
+            number = round(at * 1000) << 80 | 0x7 << 76 | 1 << 63 | self.made
+            key = RequestKey(account, str(UUID(int=number)), timed=True)
+        else:
+            key = RequestKey(account, f'order-{self.made}', timed=False)
+        self.send(key, plan)
+        return key
+
+    @rule(key=keys, plan=_PLANS)
+    def resend(self, key, plan):
+        self.send(key, plan)
+
+    @rule(key=keys, plan=_PLANS, wait=st.sampled_from((0.6, 1, 3, 13)))
+    def resend_later(self, key, plan, wait):
+        self.advance(wait)
+        self.send(key, plan)
+
+    def send(self, key, plan):
+        first = self.first_sent.setdefault(key, self.loop.time())
+        if not key.timed and self.loop.time() - first > _WINDOW:
+            return
+        receivers = [one for one in self.daemons if one.alive]
+        if plan.to_owner:
+            placed = placement_key(key.account, key.key)
+            position = owner(placed, self.positions)
+            receivers = [one for one in receivers if one.position == position]
+        self.loop.run_until_complete(self._spawn(key, receivers, plan))
+
+    async def _spawn(self, key, receivers, plan):
+        for copy in range(plan.copies):
+            # The last receiver of a position is the one that replaced others.
+            daemon = receivers[-1 - (plan.at + copy // 2) % len(receivers)]
+            self.made += 1
+            name = f'attempt-{self.made}'
+            self.attempts.setdefault(key, []).append(name)
+            task = asyncio.create_task(
+                self._attempt(daemon, key, name, plan.fault)
+            )
+            daemon.tasks.add(task)
+            self.ended.append(task)
+        await asyncio.sleep(plan.seconds)
+
+    @rule(seconds=st.sampled_from((0.05, 1, 4, 9, 13, 40, 640)))
+    def advance(self, seconds):
+        self.loop.run_until_complete(self._advance(seconds))
+
+    @rule(positions=st.sampled_from(_SETS))
+    def publish(self, positions):
+        self.version += 1
+        self.positions = positions
+
+    @rule(at=st.integers(0, 5), connected=st.booleans())
+    def cut_off(self, at, connected):
+        daemon = self.daemons[at % len(self.daemons)]
+        newest = [
+            one for one in self.daemons if one.position == daemon.position
+        ][-1]
+        # A daemon that was replaced gets no confirmation any more.
+        daemon.connected = connected and daemon is newest
+
+    @rule(position=st.sampled_from(_POSITIONS), kill=st.booleans())
+    def replace(self, position, kill):
+        for daemon in self.daemons:
+            if daemon.position == position:
+                daemon.connected = False
+                if kill:
+                    daemon.kill()
+        self.daemons.append(self._start(position))
+        self.loop.run_until_complete(self._advance(0.01))
+
+    async def _attempt(self, daemon, key, name, fault):
+        await self._pass('arrived', daemon, fault)
+        begun = daemon.records.begin(
+            key.account, key.key, b'body', daemon.now()
+        )
+        match begun:
+            case Run(execution):
+                with execution:
+                    await self._run(daemon, key, name, fault, execution)
+            case InProgress(ended):
+                await ended.wait()
+            case AnswerAgain(answer):
+                assert answer.body.decode() in self.attempts[key]
+                assert self.count(key) == 1
+            case RefusedNotRun(earlier_unknown=False):
+                assert self.count(key) == 0
+
+    async def _run(self, daemon, key, name, fault, execution):
+        await self._pass('begun', daemon, fault)
+        ticket = Ticket(key.account, 1, self.loop.time() + 2, name.encode())
+        admitted = await daemon.gate.admit(ticket)
+        match admitted:
+            case Ok(slot):
+                outcome = Unused()
+                try:
+                    await self._pass('admitted', daemon, fault)
+                    outcome = Cancelled()
+                    execution.mark_sent()
+                    outcome = await self._send(daemon, name, fault)
+                finally:
+                    slot.release(outcome)
+            case _:
+                # A refusal of the gate is a true "not run".
+                assert self.executed(name) == 0
+                return
+        match outcome:
+            case ConnectionRefused():
+                execution.mark_not_begun()
+                assert self.executed(name) == 0
+            case Answered():
+                await self._pass('answered', daemon, fault)
+                execution.complete(StoredAnswer(200, (), name.encode()))
+
+    async def _send(self, daemon, name, fault):
+        await self._pass('marked', daemon, fault)
+        sending = asyncio.ensure_future(daemon.model.send(Work(name)))
+        await self._pass('sent', daemon, fault)
+        # What was sent runs on although the daemon dies.
+        return await asyncio.shield(sending)
+
+    async def _pass(self, step, daemon, fault):
+        await asyncio.sleep(0.002)
+        if step != fault.step:
+            return
+        match fault.kind:
+            case 'daemon':
+                daemon.kill()
+                daemon.connected = False
+                self.daemons.append(self._start(daemon.position))
+                await asyncio.sleep(0)
+            case 'upstream':
+                daemon.model.crash()
+            case 'caller':
+                raise asyncio.CancelledError
+
+    def executed(self, name):
+        return sum(model.executions[name] for model in self.models.values())
+
+    def count(self, key):
+        return sum(map(self.executed, self.attempts.get(key, ())))
+
+    @invariant()
+    def every_key_ran_at_most_once(self):
+        for key in self.attempts:
+            assert self.count(key) <= 1, key
+
+    @invariant()
+    def gates_keep_their_bounds(self):
+        for daemon in self.daemons:
+            assert daemon.gate.in_progress <= _SLOTS
+            assert daemon.gate.queued <= 4 * _SLOTS
+            assert len(daemon.records) <= _SETTINGS.max_records
+
+    def teardown(self):
+        self.loop.run_until_complete(self._advance(5))
+        for task in self.ended:
+            assert task.done()
+            if not task.cancelled():
+                task.result()
+        self.every_key_ran_at_most_once()
+        for daemon in self.daemons:
+            assert daemon.gate.in_progress == 0
+            daemon.kill()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
+def test_keys_run_at_most_once_whatever_fails():
+    run_state_machine_as_test(
+        AtMostOnce,
+        settings=settings(
+            max_examples=150,
+            stateful_step_count=25,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
