--- a/packages/wagtailline/src/wagtailline/admission/_upstream.py
+++ b/packages/wagtailline/src/wagtailline/admission/_upstream.py
@@ -13,12 +13,15 @@
     ResetBeforeFirstByte,
     ResetLater,
     TimedOut,
+    Unused,
 )
 from wagtailline.admission._slot import Slot
 
 _SERVER_ERRORS = 500
 # Weight of a new sample in the mean time that a slot is held.
 _HOLD_GAIN = 0.1
+# One request that takes long may just be a large one.
+_MIN_STALLED = 2
 Fingerprints = tuple[bytes, ...]
 
 
@@ -54,9 +57,14 @@
                 return self._reset(slot, others, now, idle)
             case ResetLater():
                 return self._reset(slot, others, now, idle=False)
-            case RefusedByUpstream() | TimedOut():
+            case RefusedByUpstream():
                 self.limit.overloaded(slot.started, now)
-        return self._watch.left(slot)
+                return self._watch.answered(slot, now)
+            case TimedOut():
+                self.limit.overloaded(slot.started, now)
+            case Unused():
+                return ()
+        return self._watch.left(slot, now)
 
     def check_stall(self, in_progress: Collection[Slot], now: float) -> None:
         """Lower the limit when most requests are unanswered for long."""
@@ -64,7 +72,7 @@
         if oldest is None or not self._is_stalled(oldest, now):
             return
         stalled = sum(self._is_stalled(slot, now) for slot in in_progress)
-        if stalled * 2 > len(in_progress):
+        if stalled >= _MIN_STALLED and stalled * 2 > len(in_progress):
             self.limit.overloaded(oldest.started, now)
 
     def _answered(
