--- a/packages/wagtailline-lab/src/wagtailline_lab/allowance_fleet.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/allowance_fleet.py
@@ -10,7 +10,6 @@
 from result import Ok, Result
 
 from wagtailline.allowance import (
-    ALLOWANCE_KINDS,
     DEFAULT_SETTINGS,
     Allowance,
     AllowanceRefusal,
@@ -125,10 +124,11 @@
         factory: AdmissionFactory = Allowance,
         near: LinkQuality = NEAR,
         far: LinkQuality = FAR,
+        codec: Codec | None = None,
     ) -> None:
         """Begin without daemons and with an empty version."""
         self.random = Random(seed)
-        self.network = PeerNetwork(self.random, near, far)
+        self.network = PeerNetwork(self.random, near, far, codec)
         self.daemons: dict[Process, Daemon] = {}
         self.admitted: dict[str, list[float]] = defaultdict(list)
         self.oracle = Oracle()
@@ -316,11 +316,6 @@
     return objects
 
 
-def make_codec() -> Codec:
-    """Return the codec of the allowance messages, to count octets."""
-    return Codec(ALLOWANCE_KINDS)
-
-
 def endpoints_of(snapshot: Snapshot) -> list[Endpoint]:
     """Return all endpoints of a version."""
     return [
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, run by ``python -m``; each prints a table."""
--- a/packages/wagtailline-lab/src/wagtailline_lab/simulation.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/simulation.py
@@ -54,4 +54,5 @@
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks))
--- a/packages/wagtailline/src/wagtailline/allowance/_service.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_service.py
@@ -50,6 +50,7 @@
     ) -> None:
         """Wire the parts; nothing is sent before the start."""
         plans = PlanCache(snapshots, settings)
+        self.plans = plans
         stopwatch = Stopwatch(clock)
         self._clock = clock
         self._random = random
