Give every borrower the same access to a bucket and report small spending at once

Cause: a home kept up to half of its tokens for its own data centre, so that a home of one token never gave it elsewhere; prefetching took tokens from bursts; a home of one token stood still until the next report. Change: no reserve, prefetch out of the upper half of a bucket only, limits up to a burst of 32 report after each refill.

--- a/packages/wagtailline/src/wagtailline/allowance/_borrower.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_borrower.py
@@ -14,6 +14,9 @@
 
 # A stock without use or content for this time is forgotten.
 _FORGET_SECONDS = 60
+# A home of one or two tokens generates nothing until it learns that they are
+# spent, so that spending of small limits is reported at once.
+_SMALL_BURST = 32
 # Borrowers that wait for the same token ask at slightly different times.
 _RETRY_SPREAD_SECONDS = 0.002
 
@@ -169,7 +172,9 @@
         now = self._stopwatch.now()
         if stock.waiters:
             self._start_refill(stock)
-        elif stock.close_surplus(self._target(stock, now.monotonic), now):
+            return
+        surplus = stock.close_surplus(self._target(stock, now.monotonic), now)
+        if surplus or stock.burst <= _SMALL_BURST:
             self._lender.report(stock)
 
     async def _refill_until_served(self, stock: Stock) -> None:
--- a/packages/wagtailline/src/wagtailline/allowance/_homes.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_homes.py
@@ -1,7 +1,6 @@
 """Homes: the limits whose tokens this position generates."""
 
 from collections.abc import Sequence
-from math import exp
 
 from wagtailline.allowance._bucket import Bucket
 from wagtailline.allowance._elapsed import Moment, Stopwatch
@@ -22,8 +21,6 @@
 from wagtailline.allowance._settings import AllowanceSettings, Identity
 from wagtailline.objects import Limit
 
-# The demand of the own data centre is averaged over this time.
-_DEMAND_SECONDS = 0.5
 # Replies are kept for repeated requests while the grant may be useful.
 _REPLY_SECONDS = 5
 # A longer wait is reported as this one, as a rate may be tiny.
@@ -41,20 +38,6 @@
         self.confirmed = Moment(_NEVER, _NEVER)
         self.fraction = _NO_FRACTION
         self.replies: dict[str, tuple[int, float, Grant]] = {}
-        self.demand: float = 0
-        self.demand_at = now
-
-    def count_demand(self, tokens: int, now: float) -> None:
-        """Add tokens to the recent demand of the own data centre."""
-        passed = now - self.demand_at
-        self.demand = self.demand * exp(-passed / _DEMAND_SECONDS) + tokens
-        self.demand_at = now
-
-    def reserve(self, now: float) -> float:
-        """Return the tokens kept back for the own data centre."""
-        passed = now - self.demand_at
-        demand = self.demand * exp(-passed / _DEMAND_SECONDS)
-        return min(demand, self.bucket.share.tokens / 2)
 
     def forget_replies(self, now: float) -> None:
         """Drop replies that no request repeats any more."""
@@ -185,21 +168,20 @@
 
     def _grant(self, home: _Home, request: GrantRequest, burst: int) -> Grant:
         now = self._stopwatch.now().monotonic
-        local = request.data_centre == self._identity.data_centre
-        if local:
-            home.count_demand(request.waiting + request.prefetch, now)
         usable = home.bucket.level if home.valid_until > now else 0
-        reserve = 0 if local else home.reserve(now)
-        free = max(0, int(usable - reserve))
+        free = int(usable)
         waiting = min(request.waiting, free)
-        tokens = waiting + min(request.prefetch, (free - waiting) // 2)
+        # Prefetched tokens may be wanted elsewhere before they are spent, so
+        # that they come out of the upper half of the bucket only.
+        spare = max(0, free - waiting - home.bucket.share.tokens // 2)
+        tokens = waiting + min(request.prefetch, spare)
         number = 0
         if tokens:
             expires = now + self._settings.held_grant_seconds
             number = home.bucket.take(request.borrower, tokens, expires)
         wait: float = 0
         if tokens < request.waiting or not tokens:
-            wait = self._seconds_until_next(home, reserve, now)
+            wait = self._seconds_until_next(home, now)
         return Grant(
             request.limit,
             self._identity.key,
@@ -210,12 +192,10 @@
             wait * 1000,
         )
 
-    def _seconds_until_next(
-        self, home: _Home, reserve: float, now: float
-    ) -> float:
+    def _seconds_until_next(self, home: _Home, now: float) -> float:
         if home.valid_until <= now or not home.bucket.share.tokens:
             return self._settings.suspect_seconds
-        wait = home.bucket.seconds_until(1 + reserve)
+        wait = home.bucket.seconds_until(1)
         return min(wait, _MAX_WAIT_SECONDS)
 
 
--- a/packages/wagtailline/src/wagtailline/allowance/_lender.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_lender.py
@@ -125,7 +125,6 @@
         request = GrantRequest(
             stock.limit,
             self._identity.key,
-            self._identity.data_centre,
             next(self._sequences),
             waiting,
             prefetch,
--- a/packages/wagtailline/src/wagtailline/allowance/_messages.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_messages.py
@@ -32,7 +32,6 @@
 
     limit: str
     borrower: str
-    data_centre: str
     sequence: int
     waiting: Count
     prefetch: Count
