Tell borrowers turned away to come back when there is a token for each

Cause: one account at eight times its rate made every daemon ask each home for every token: 16.1 KB a second and daemon, above the 8 KB of the target. Change: a home counts the requests that it turned away and names the time at which it has as many tokens, at most half of its burst.

--- a/packages/wagtailline/src/wagtailline/allowance/_homes.py
+++ b/packages/wagtailline/src/wagtailline/allowance/_homes.py
@@ -37,6 +37,7 @@
         self.valid_until = _NEVER
         self.confirmed = Moment(_NEVER, _NEVER)
         self.fraction = _NO_FRACTION
+        self.turned_away = 0
         self.replies: dict[str, tuple[int, float, Grant]] = {}
 
     def forget_replies(self, now: float) -> None:
@@ -181,7 +182,10 @@
             number = home.bucket.take(request.borrower, tokens, expires)
         wait: float = 0
         if tokens < request.waiting or not tokens:
+            home.turned_away += 1
             wait = self._seconds_until_next(home, now)
+        else:
+            home.turned_away = 0
         return Grant(
             request.limit,
             self._identity.key,
@@ -195,7 +199,10 @@
     def _seconds_until_next(self, home: _Home, now: float) -> float:
         if home.valid_until <= now or not home.bucket.share.tokens:
             return self._settings.suspect_seconds
-        wait = home.bucket.seconds_until(1)
+        # Borrowers that ask an empty home in turn come back when there is a
+        # token for each, but before the bucket is full and tokens are lost.
+        most = max(1, home.bucket.share.tokens // 2)
+        wait = home.bucket.seconds_until(min(home.turned_away, most))
         return min(wait, _MAX_WAIT_SECONDS)
 
 
