Confirm positions in unbroken series and compare doubts

A model of two occupants of one endpoint shows two faults. Counting the successor's wait from its first confirmation is not enough: a witness that restarts forgets the successor and attests to its predecessor after its quiet time, unless the successor has asked again before.

A gap in the confirmations now begins a new series, and a comparison also returns recent doubts.

--- a/packages/wagtailline/src/wagtailline/membership/_digests.py
+++ b/packages/wagtailline/src/wagtailline/membership/_digests.py
@@ -19,9 +19,7 @@
         self, endpoint: str, data_centre: str, statement: tuple[object, ...]
     ) -> None:
         """Count the statement of an endpoint that has none."""
-        fingerprint = blake2b(
-            msgpack.packb(statement), digest_size=PRINT_BYTES
-        ).digest()
+        fingerprint = fingerprint_of(statement)
         self._held[endpoint] = (data_centre, fingerprint)
         self._flip(data_centre, fingerprint)
 
@@ -57,6 +55,11 @@
         )
 
 
+def fingerprint_of(statement: tuple[object, ...]) -> bytes:
+    """Return the fingerprint of a statement."""
+    return blake2b(msgpack.packb(statement), digest_size=PRINT_BYTES).digest()
+
+
 def split_prints(packed: bytes) -> set[bytes]:
     """Return the fingerprints of a message."""
     return {
--- a/packages/wagtailline/src/wagtailline/membership/_holding.py
+++ b/packages/wagtailline/src/wagtailline/membership/_holding.py
@@ -98,7 +98,18 @@
             return False
         if witnesses and agreed * 2 <= len(witnesses):
             return False
-        self.last_confirmed = asked
-        if self.first_confirmed is None:
+        if not self._continues():
             self.first_confirmed = asked
+        self.last_confirmed = asked
         return True
+
+    def _continues(self) -> bool:
+        # A witness that has restarted since the last confirmation attests
+        # to another occupant again after its quiet time. Only a series that
+        # leaves no room for one question in between excludes that.
+        last = self.last_confirmed
+        if last is None or self.first_confirmed is None:
+            return False
+        settings = self._settings
+        valid = settings.witness_quiet - settings.probe_timeout
+        return self._local.now() - last <= valid
--- a/packages/wagtailline/src/wagtailline/membership/_local.py
+++ b/packages/wagtailline/src/wagtailline/membership/_local.py
@@ -1,13 +1,15 @@
 """This process's own statement, and what it takes from others."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from random import Random
 from typing import NamedTuple, TypeVar
 
 from wagtailline.codec import Message
+from wagtailline.membership._digests import fingerprint_of
 from wagtailline.membership._gossip import UpdateQueue
 from wagtailline.membership._members import (
     Doubt,
+    Entry,
     Member,
     MemberTable,
     Standing,
@@ -136,6 +138,14 @@
             return (make_doubt(entry.member),)
         return ()
 
+    def recent_doubts(self, held: Container[bytes]) -> tuple[Doubt, ...]:
+        """Return recent doubts about statements with these fingerprints."""
+        return tuple(
+            make_doubt(entry.member)
+            for entry in self.table.silent(Standing.DOWN)
+            if self._is_fresh(entry) and fingerprint_of(entry.member) in held
+        )
+
     def choose(self, count: int, *excluded: str) -> list[str]:
         """Return random endpoints of the own data centre to speak to."""
         own = self.member
@@ -196,11 +206,14 @@
             return
         if member.sequence < entry.member.sequence:
             return
-        if self.now() - entry.since > _FRESH_DOUBT_SECONDS:
+        if not self._is_fresh(entry):
             self.disputed.add(member.endpoint)
         elif not self.queue.holds(member.endpoint):
             self.queue.add(make_doubt(entry.member))
 
+    def _is_fresh(self, entry: Entry) -> bool:
+        return self.now() - entry.since <= _FRESH_DOUBT_SECONDS
+
     def _add_own(self) -> None:
         self.table.update(self.member, self.now())
         self.queue.add(self.member)
--- a/packages/wagtailline/src/wagtailline/membership/_service.py
+++ b/packages/wagtailline/src/wagtailline/membership/_service.py
@@ -93,7 +93,11 @@
 
     @property
     def confirmed_since(self) -> float | None:
-        """Monotonic time of the first confirmation by the witnesses."""
+        """Monotonic time of the first of an unbroken series of confirmations.
+
+        A successor may act for its endpoint once the validity of a
+        confirmation has passed since then.
+        """
         return self._holding.first_confirmed
 
     @property
--- a/packages/wagtailline/src/wagtailline/membership/_sync.py
+++ b/packages/wagtailline/src/wagtailline/membership/_sync.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from wagtailline.membership._digests import split_prints
+from wagtailline.membership._digests import fingerprint_of, split_prints
 from wagtailline.membership._local import LocalMember
 from wagtailline.membership._members import Member
 from wagtailline.membership.messages import (
@@ -49,10 +49,13 @@
             difference = await self._ask(endpoint, data_centre)
             if difference is None:
                 return False
+            for doubt in difference.doubts:
+                self._local.take_doubt(doubt)
             taken = [
                 self._local.take_statement(member, spread=False)
                 for member in difference.members
             ]
+            await self._object(endpoint, difference.members)
             # Statements that are refused here would be sent for ever.
             if not any(taken) or not difference.remaining:
                 break
@@ -72,6 +75,7 @@
         batch = missing[: self._settings.sync_batch]
         return MemberDifference(
             self._find(batch),
+            self._local.recent_doubts(theirs),
             b''.join(sorted(theirs - ours.keys())),
             len(missing) - len(batch),
         )
@@ -85,6 +89,12 @@
         )
         return reply if isinstance(reply, MemberDifference) else None
 
+    async def _object(self, endpoint: str, members: tuple[Member, ...]) -> None:
+        held = set(map(fingerprint_of, members))
+        doubts = self._local.recent_doubts(held)
+        if doubts:
+            await self._local.post(endpoint, MemberUpdate(News((), doubts)))
+
     async def _give(
         self, endpoint: str, data_centre: str, wants: bytes
     ) -> None:
--- a/packages/wagtailline/src/wagtailline/membership/messages.py
+++ b/packages/wagtailline/src/wagtailline/membership/messages.py
@@ -76,11 +76,13 @@
 class MemberDifference(NamedTuple):
     """Statements missing at the sender of a MemberSync.
 
-    ``wants`` are the fingerprints that the answering member lacks;
+    ``doubts`` are recent doubts about statements that the sender holds,
+    ``wants`` are the fingerprints that the answering member lacks, and
     ``remaining`` is the number of statements that did not fit.
     """
 
     members: tuple[Member, ...]
+    doubts: tuple[Doubt, ...]
     wants: bytes
     remaining: int
     request_id: int = 0
