Ignore doubts about statements that were never made

A doubt with a sequence above the own one came from a faulty peer only, and refuting it raised the counter to any value, up to one that no frame holds and that ends the gossip task. Only a doubt about the latest statement is refuted now.

--- a/packages/wagtailline/src/wagtailline/membership/_local.py
+++ b/packages/wagtailline/src/wagtailline/membership/_local.py
@@ -97,8 +97,12 @@
             self.queue.discount(doubt)
 
     def refute(self, sequence: int) -> None:
-        """Make a statement that is newer than the doubted one."""
-        if sequence >= self.member.sequence and self.successor is None:
+        """Make a statement that is newer than the doubted one.
+
+        An older statement is superseded already, and a newer one was never
+        made; answering that would let one faulty peer exhaust the counter.
+        """
+        if sequence == self.member.sequence and self.successor is None:
             self.state(self.member._replace(sequence=sequence + 1))
 
     def state(self, member: Member) -> None:
--- a/packages/wagtailline/tests/membership/test_failures.py
+++ b/packages/wagtailline/tests/membership/test_failures.py
@@ -5,6 +5,7 @@
 import pytest
 
 from wagtailline.membership import MembershipSettings
+from wagtailline.membership.messages import Doubt, MemberUpdate, News
 from wagtailline_lab.fleet import run_fleet
 from wagtailline_lab.network import LinkQuality
 
@@ -249,3 +250,57 @@
         assert node.service.confirmed_since > healed
 
     run_fleet(scenario())
+
+
+def test_a_doubt_about_a_statement_never_made_is_ignored():
+    """A faulty peer could push the sequence beyond what a frame can hold."""
+
+    async def scenario():
+        fleet = await start_fleet(16, 4)
+        member = fleet.nodes[0].member
+        doubt = Doubt(member.endpoint, member.incarnation, 2**64 - 1)
+        take = fleet.nodes[0].peers.handlers[MemberUpdate]
+        await take(MemberUpdate(News((), (doubt,))))
+        assert fleet.nodes[0].member == member
+        await take(
+            MemberUpdate(News((), (doubt._replace(sequence=member.sequence),)))
+        )
+        assert fleet.nodes[0].member.sequence == member.sequence + 1
+
+    run_fleet(scenario())
+
+
+def test_an_unreadable_list_is_reported_and_changes_nothing():
+    """A faulty or missing list must not empty the table."""
+
+    async def scenario():
+        fleet = await start_fleet(14, 6)
+        fleet.lists.written['vms/dc1'] = b'[{"vm": 1}]'
+        await asyncio.sleep(70)
+        fleet.lists.available = False
+        await asyncio.sleep(70)
+        assert agree(fleet)
+        for node in fleet.nodes:
+            assert len(node.faults) >= 2
+
+    run_fleet(scenario())
+
+
+def test_a_data_centre_that_is_gone_is_forgotten():
+    """Its own members can no longer tell others that they are dead."""
+
+    async def scenario():
+        settings = MembershipSettings(
+            foreign_list_interval=20, retention=60, list_interval=10
+        )
+        fleet = await start_fleet(15, 10, settings, ('a', 'b'))
+        gone = [node for node in fleet.nodes if node.member.data_centre == 'b']
+        for node in gone:
+            await fleet.kill(node)
+        fleet.lists.write('b', [])
+        await asyncio.sleep(180)
+        for node in fleet.live():
+            assert node.table.in_data_centre('b') == ()
+            assert node.table.find(gone[0].member.endpoint) is None
+
+    run_fleet(scenario())
