--- a/packages/wagtailline/src/wagtailline/membership/_service.py
+++ b/packages/wagtailline/src/wagtailline/membership/_service.py
@@ -93,7 +93,11 @@
 
     @property
     def confirmed_since(self) -> float | None:
-        """Monotonic time of the first confirmation by the witnesses."""
+        """Monotonic time of the first of an unbroken series of confirmations.
+
+        A successor may act for its endpoint once the validity of a
+        confirmation has passed since then.
+        """
         return self._holding.first_confirmed
 
     @property
@@ -214,6 +218,9 @@
             self._handlers.compare(target, reply.scopes)
 
     async def _visit(self) -> None:
+        own = self._local.member.data_centre
+        if len(self._local.table.endpoints(own)) == 1:
+            await self._read_own()
         await self._find_foreign()
         target = self._local.choose_foreign()
         if target is not None and self._local.successor is None:
