--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_baselines.py
@@ -0,0 +1,76 @@
+"""Baselines: every daemon watches the source, or polls it."""
+
+import asyncio
+from random import Random
+
+from result import Ok
+
+from wagtailline.distribution._versions import Versions
+from wagtailline.ports import LoopClock, Source
+from wagtailline.release import (
+    HEAD_KEY,
+    Head,
+    bucket_key,
+    chain_of,
+    decode_head,
+    decode_pack,
+)
+from wagtailline.snapshot import SnapshotStore
+from wagtailline_lab.fleet import WALL_START
+
+WATCH_SECONDS = 30.0
+# Freshness of 3 s without a watch.
+POLL_SECONDS = 3.0
+
+
+class DirectReader:
+    """A daemon that gets every version from the source itself."""
+
+    def __init__(self, source: Source, random: Random, *, polls: bool) -> None:
+        """Poll or watch the source."""
+        self.store = SnapshotStore()
+        self._source = source
+        self._random = random
+        self._polls = polls
+        self._versions = Versions(self.store, LoopClock(WALL_START))
+        self._revision = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self._task = asyncio.ensure_future(self._work())
+
+    def stop(self) -> None:
+        """End the reading."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _work(self) -> None:
+        while True:
+            if self._polls:
+                await asyncio.sleep(POLL_SECONDS * self._random.random())
+                await self._take(await self._source.read(HEAD_KEY))
+                await asyncio.sleep(POLL_SECONDS / 2)
+            else:
+                await self._take(
+                    await self._source.watch(
+                        HEAD_KEY, self._revision, WATCH_SECONDS
+                    )
+                )
+
+    async def _take(self, answered: object) -> None:
+        if not isinstance(answered, Ok):
+            await asyncio.sleep(1)
+        elif answered.ok_value is not None:
+            self._revision = answered.ok_value.revision
+            head = decode_head(answered.ok_value.content).unwrap()
+            accepted = self._versions.accept_deltas(chain_of(head))
+            if accepted.is_err() and head.version > self.store.version:
+                await self._load(head)
+
+    async def _load(self, head: Head) -> None:
+        fetched: dict[bytes, bytes] = {}
+        for digest in head.packs:
+            reading = (await self._source.read(bucket_key(digest))).unwrap()
+            fetched.update(decode_pack(reading.content, digest).unwrap())
+        self._versions.accept_buckets(head, fetched)
--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_systems.py
@@ -0,0 +1,124 @@
+"""The mechanisms that the distribution benchmark compares."""
+
+import asyncio
+from random import Random
+from typing import Protocol
+
+from wagtailline_lab.bench._baselines import DirectReader
+from wagtailline_lab.fleet import Scene, make_scene
+from wagtailline_lab.network import LinkQuality
+
+DATA_CENTRES = 11
+SEED = 1
+
+
+class System(Protocol):
+    """A fleet under one mechanism."""
+
+    scene: Scene
+
+    async def start(self) -> None:
+        """Start every daemon."""
+
+    async def stop(self) -> None:
+        """End every daemon."""
+
+    def versions(self, data_centre: str | None = None) -> list[int]:
+        """Return the versions in force, of one data centre if given."""
+
+    async def restart_half(self) -> None:
+        """End every second daemon, then start them all at once."""
+
+
+def _make_scene(size: int) -> Scene:
+    scene = make_scene(SEED, 0, 0, LinkQuality())
+    for number in range(DATA_CENTRES):
+        share, rest = divmod(size, DATA_CENTRES)
+        scene.fleet.add(f'dc{number}', share + (number < rest))
+    return scene
+
+
+class TreeSystem:
+    """The distribution under test."""
+
+    def __init__(self, size: int) -> None:
+        """Name the positions."""
+        self.scene = _make_scene(size)
+
+    async def start(self) -> None:
+        """Start every daemon."""
+        await self.scene.fleet.start_all()
+
+    async def stop(self) -> None:
+        """End every daemon."""
+        await self.scene.fleet.stop()
+        await asyncio.sleep(1)
+
+    def versions(self, data_centre: str | None = None) -> list[int]:
+        """Return the versions in force, of one data centre if given."""
+        return [
+            process.store.version
+            for process in self.scene.fleet.processes.values()
+            if data_centre in {None, process.member.data_centre}
+        ]
+
+    async def restart_half(self) -> None:
+        """End every second daemon, then start them all at once."""
+        chosen = tuple(self.scene.fleet.members)[::2]
+        for endpoint in chosen:
+            await self.scene.fleet.kill(endpoint)
+        for endpoint in chosen:
+            await self.scene.fleet.start(endpoint)
+
+
+class DirectSystem:
+    """Every daemon reads the source itself."""
+
+    polls = False
+
+    def __init__(self, size: int) -> None:
+        """Name the positions."""
+        self.scene = _make_scene(size)
+        self._random = Random(SEED)
+        self._readers: dict[str, DirectReader] = {}
+
+    async def start(self) -> None:
+        """Start every daemon."""
+        for endpoint in self.scene.fleet.members:
+            self._start(endpoint)
+
+    async def stop(self) -> None:
+        """End every daemon."""
+        for reader in self._readers.values():
+            reader.stop()
+        await asyncio.sleep(1)
+
+    def versions(self, data_centre: str | None = None) -> list[int]:
+        """Return the versions in force, of one data centre if given."""
+        return [
+            reader.store.version
+            for endpoint, reader in self._readers.items()
+            if data_centre is None or endpoint.endswith(f'.{data_centre}')
+        ]
+
+    async def restart_half(self) -> None:
+        """End every second daemon, then start them all at once."""
+        for endpoint in tuple(self._readers)[::2]:
+            self._readers[endpoint].stop()
+            self._start(endpoint)
+
+    def _start(self, endpoint: str) -> None:
+        source = self.scene.source.view(
+            self.scene.fleet.members[endpoint].address
+        )
+        reader = DirectReader(
+            source, Random(self._random.random()), polls=self.polls
+        )
+        self._readers[endpoint] = reader
+        reader.start()
+
+
+class PollSystem(DirectSystem):
+    """Every daemon polls the source."""
+
+    polls = True
--- a/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
@@ -51,6 +51,7 @@
         self.processes: dict[str, Process] = {}
         self.members: dict[str, Member] = {}
         self.wrap: Callable[[Transport], Transport] = _keep
+        self.first_port = FIRST_PORT
         self._random = random
         self._settings = settings
         self._incarnation = int(WALL_START * 1000)
@@ -65,7 +66,7 @@
                 endpoint,
                 f'vm{number}',
                 data_centre,
-                Address('127.0.0.1', FIRST_PORT + number),
+                Address('127.0.0.1', self.first_port + number),
                 0,
             )
             added.append(endpoint)
@@ -131,7 +132,7 @@
 
     def data_centre_of(self, address: Address) -> str:
         """Return the data centre of a position's address."""
-        number = address.port - FIRST_PORT
+        number = address.port - self.first_port
         return tuple(self.members.values())[number].data_centre
 
 
@@ -154,13 +155,17 @@
 
 
 def make_scene(
-    seed: int, data_centres: int, members: int, quality: LinkQuality
+    seed: int,
+    data_centres: int,
+    members: int,
+    quality: LinkQuality,
+    settings: DistributionSettings | None = None,
 ) -> Scene:
     """Return a fleet that is not started; must run in the event loop."""
     random = Random(seed)
     network = MemoryNetwork(random, quality)
     source = MemorySource()
-    fleet = Fleet(network, source, random)
+    fleet = Fleet(network, source, random, settings)
     for number in range(data_centres):
         fleet.add(f'dc{number}', members)
     return Scene(network, source, Publisher(source), fleet)
@@ -172,12 +177,17 @@
     data_centres: int = 3,
     members: int = 6,
     quality: LinkQuality | None = None,
+    settings: DistributionSettings | None = None,
 ) -> None:
     """Run a scenario on virtual time, with version 1 in force everywhere."""
 
     async def play() -> None:
         scene = make_scene(
-            seed, data_centres, members, quality or LinkQuality()
+            seed,
+            data_centres,
+            members,
+            quality or LinkQuality(),
+            settings,
         )
         scene.publisher.publish(make_objects(30, 4, data_centres))
         try:
--- a/packages/wagtailline/tests/test_distribution_faults.py
+++ b/packages/wagtailline/tests/test_distribution_faults.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from wagtailline.distribution import DistributionSettings
+from wagtailline.distribution.messages import HeadReply, HeadRequest
 from wagtailline.objects import Endpoint
 from wagtailline_lab.fleet import run_scene
 from wagtailline_lab.network import LinkQuality
@@ -181,3 +183,31 @@
     run_scene(
         scenario, quality=LinkQuality(0.001, 0.3, loss=0.2, duplication=0.2)
     )
+
+
+def test_joins_beyond_the_limit_wait_their_turn():
+    """A mass restart must not make the survivors serve everyone at once."""
+
+    async def scenario(scene):
+        asked, *others = scene.fleet.processes.values()
+        replies = [
+            await one.links.request(
+                asked.member.endpoint, HeadRequest(), HeadReply, 1
+            )
+            for one in others
+        ]
+        admitted = [one for one in replies if not one.unwrap().retry_after_ms]
+        assert len(admitted) == 2
+        assert all(len(one.unwrap().buckets) == 256 for one in admitted)
+        for endpoint in list(scene.fleet.processes)[1:]:
+            await scene.fleet.kill(endpoint)
+        for endpoint in list(scene.fleet.members)[1:]:
+            await scene.fleet.start(endpoint)
+        assert await scene.converge(1, _HEALED_SECONDS)
+
+    run_scene(
+        scenario,
+        data_centres=1,
+        members=12,
+        settings=DistributionSettings(max_transfers=2),
+    )
