Watch for the first publication, and sort members only when they change

Cause: a reader backed off up to 8 s while nothing was published; the view of the fleet was sorted every 2 s; a data centre without members stayed listed. Change: a missing head is watched for; the table's order is compared before sorting; a relay finds its interval by bisection.

--- a/packages/wagtailline-lab/src/wagtailline_lab/memory_source.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/memory_source.py
@@ -63,6 +63,12 @@
         else:
             self._values[bucket_key(digest)] = SourceReading(1, content)
 
+    def forget_everything(self) -> None:
+        """Begin again without values."""
+        self.revision = 0
+        self._heads.clear()
+        self._values.clear()
+
     def view(self, address: Address) -> 'SourceView':
         """Return the source as the process at an address reaches it."""
         return SourceView(self, address)
--- a/packages/wagtailline/src/wagtailline/distribution/_source_reader.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_source_reader.py
@@ -11,6 +11,7 @@
 from wagtailline.ports import (
     Source,
     SourceFailure,
+    SourceKeyMissing,
     SourceReading,
     SourceUnavailable,
 )
@@ -97,7 +98,11 @@
 
     async def _read_head(self) -> bool:
         started_ms = self._now_ms()
-        return await self._take(await self._read(HEAD_KEY), started_ms)
+        reading = await self._read(HEAD_KEY)
+        if isinstance(reading, Err):
+            # Before the first publication there is only something to watch.
+            return isinstance(reading.err_value, SourceKeyMissing)
+        return await self._take(reading, started_ms)
 
     async def _read(self, key: str) -> _Reading:
         await self._limiter.take()
--- a/packages/wagtailline/src/wagtailline/distribution/_topology.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_topology.py
@@ -6,6 +6,7 @@
 therefore disagree only about the members that one of them does not know.
 """
 
+from bisect import bisect_left
 from collections import OrderedDict, defaultdict
 from typing import NamedTuple
 
@@ -42,6 +43,7 @@
         self._clock = clock
         self._refreshed = float('-inf')
         self._suspects: dict[str, float] = {}
+        self._listed: dict[str, list[str]] = {}
         self._members: dict[str, tuple[str, ...]] = {}
         self._ranks: dict[str, tuple[str, ...]] = {}
         self._own_ranks: dict[str, int] = {}
@@ -105,21 +107,20 @@
 
         Those on the path, which ends with the own member, are left out.
         """
-        inside = [
-            (weight, endpoint)
-            for weight, endpoint in self._order(path[0])
-            if low <= weight <= high and endpoint not in path
-        ]
+        order = self._order(path[0])
+        start = bisect_left(order, (low, ''))
+        end = bisect_left(order, (high + 1, ''))
+        inside = [one for one in order[start:end] if one[1] not in path]
         size = max(1, -(-len(inside) // TREE_DEGREE))
         groups = [
-            inside[start : start + size]
-            for start in range(0, len(inside), size)
+            inside[first : first + size]
+            for first in range(0, len(inside), size)
         ]
         starts = [low, *(group[0][0] for group in groups[1:])]
-        ends = [*(start - 1 for start in starts[1:]), high]
+        ends = [*(following - 1 for following in starts[1:]), high]
         return [
-            Branch(start, end, tuple(endpoint for _, endpoint in group))
-            for start, end, group in zip(starts, ends, groups, strict=False)
+            Branch(first, last, tuple(endpoint for _, endpoint in group))
+            for first, last, group in zip(starts, ends, groups, strict=False)
         ]
 
     def _order(self, reader: str) -> tuple[tuple[int, str], ...]:
@@ -140,12 +141,13 @@
         grouped: dict[str, list[str]] = defaultdict(list)
         for member in self._table.members():
             grouped[member.data_centre].append(member.endpoint)
+        for gone in self._listed.keys() - grouped.keys():
+            del self._listed[gone], self._members[gone], self._ranks[gone]
         for data_centre, endpoints in grouped.items():
-            members = tuple(sorted(endpoints))
-            if members != self._members.get(data_centre):
-                self._replace(data_centre, members)
-        for gone in self._members.keys() - grouped.keys():
-            self._replace(gone, ())
+            # The table keeps its order, so nothing is sorted at rest.
+            if endpoints != self._listed.get(data_centre):
+                self._listed[data_centre] = endpoints
+                self._replace(data_centre, tuple(sorted(endpoints)))
 
     def _replace(self, data_centre: str, members: tuple[str, ...]) -> None:
         self._members[data_centre] = members
--- a/packages/wagtailline/tests/test_distribution.py
+++ b/packages/wagtailline/tests/test_distribution.py
@@ -193,3 +193,22 @@
     # restarted readers add theirs.
     assert max(*small, *large) <= 6 * (10 + 4) + 3 * 2 * 4
     assert large[0] <= small[0] + 6
+
+
+def test_first_publication_reaches_a_waiting_fleet():
+    """A reader that backs off because nothing is published adds seconds."""
+
+    async def scenario(scene):
+        for endpoint in scene.fleet.members:
+            await scene.fleet.kill(endpoint)
+        objects = scene.publisher.objects
+        scene.source.forget_everything()
+        scene.publisher.head, scene.publisher.objects = None, {}
+        for endpoint in scene.fleet.members:
+            await scene.fleet.start(endpoint)
+        await asyncio.sleep(40)
+        assert await scene.converge(0, 0)
+        scene.publisher.publish(objects)
+        assert await scene.converge(1, _TARGET_SECONDS)
+
+    run_scene(scenario)
