--- a/packages/wagtailline/tests/test_distribution.py
+++ b/packages/wagtailline/tests/test_distribution.py
@@ -8,6 +8,7 @@
 from wagtailline.objects import Endpoint, Route, Service
 from wagtailline.release import DigestMismatch, encode_head
 from wagtailline_lab.fleet import run_scene
+from wagtailline_lab.network import LinkQuality
 
 # The stated time until a change is in force everywhere.
 _TARGET_SECONDS = 3
@@ -38,6 +39,8 @@
             _change(scene, slots)
             assert await scene.converge(slots + 1, _TARGET_SECONDS)
         scene.source.stale_revision = 1
+        # The source answers long before the peers do.
+        scene.network.quality = LinkQuality(0.1, 0.15)
         for endpoint in [name for name in scene.fleet.members if 'dc0' in name]:
             await scene.fleet.kill(endpoint)
             await scene.fleet.start(endpoint)
@@ -55,6 +58,7 @@
         ]
         assert min(ages) > 15, 'a stale source must not confirm the version'
         scene.source.stale_revision = None
+        scene.network.quality = LinkQuality()
         _change(scene, 3)
         assert await scene.converge(4, _TARGET_SECONDS + _HEALED_SECONDS)
 
