Guard anti-entropy with a test of its own

Change: a test in one data centre whose network loses every notice; the shared ports and state of the parts move to a module of their own.

--- a/packages/wagtailline/src/wagtailline/distribution/_election.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_election.py
@@ -6,16 +6,9 @@
 """
 
 import asyncio
-from random import Random
-from typing import NamedTuple
 
-from wagtailline.distribution._topology import Topology
-from wagtailline.distribution._versions import Versions
+from wagtailline.distribution._surroundings import Surroundings
 from wagtailline.distribution.messages import VersionProbe, VersionReply
-from wagtailline.distribution.settings import DistributionSettings
-from wagtailline.membership import Member
-from wagtailline.peers import PeerLinks
-from wagtailline.ports import Clock
 
 # Members below the readers that probe them each second.
 DEPUTIES = 4
@@ -26,18 +19,6 @@
 RETRY_PERIODS = 5
 
 
-class Surroundings(NamedTuple):
-    """What the parts of the distribution share."""
-
-    member: Member
-    links: PeerLinks
-    clock: Clock
-    random: Random
-    settings: DistributionSettings
-    topology: Topology
-    versions: Versions
-
-
 class Election:
     """Decides by rank and recent answers, without any agreement."""
 
--- a/packages/wagtailline/src/wagtailline/distribution/_relay.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_relay.py
@@ -5,7 +5,8 @@
 
 from wagtailline.distribution._acknowledge import Acknowledgements
 from wagtailline.distribution._catch_up import CatchUp
-from wagtailline.distribution._election import Election, Surroundings
+from wagtailline.distribution._election import Election
+from wagtailline.distribution._surroundings import Surroundings
 from wagtailline.distribution._tasks import TaskSet
 from wagtailline.distribution._topology import MAX_SCORE, Branch
 from wagtailline.distribution.messages import HeadNotice, VersionName
--- a/packages/wagtailline/src/wagtailline/distribution/_report.py
+++ b/packages/wagtailline/src/wagtailline/distribution/_report.py
@@ -7,7 +7,8 @@
     MAX_LAGGARDS,
     Acknowledgements,
 )
-from wagtailline.distribution._election import Election, Surroundings
+from wagtailline.distribution._election import Election
+from wagtailline.distribution._surroundings import Surroundings
 from wagtailline.distribution.messages import (
     KeptOut,
     Laggard,
--- a/packages/wagtailline/tests/test_distribution_faults.py
+++ b/packages/wagtailline/tests/test_distribution_faults.py
@@ -5,7 +5,11 @@
 import pytest
 
 from wagtailline.distribution import DistributionSettings
-from wagtailline.distribution.messages import HeadReply, HeadRequest
+from wagtailline.distribution.messages import (
+    HeadNotice,
+    HeadReply,
+    HeadRequest,
+)
 from wagtailline.objects import Endpoint
 from wagtailline_lab.fleet import run_scene
 from wagtailline_lab.network import LinkQuality
@@ -165,6 +169,25 @@
     run_scene(scenario)
 
 
+def test_anti_entropy_alone_converges():
+    """I13: when the trees lose every notice, random peers must do."""
+
+    async def scenario(scene):
+        carry = scene.network.carry
+
+        def lose_notices(sender, message):
+            if not isinstance(message, HeadNotice):
+                carry(sender, message)
+
+        scene.network.carry = lose_notices
+        for version in (2, 3):
+            _change(scene, version)
+            assert await scene.converge(version, _HEALED_SECONDS)
+
+    # More members than the readers and those that probe them.
+    run_scene(scenario, data_centres=1, members=16)
+
+
 def test_lossy_network_converges():
     """What is lost, doubled and reordered must be repaired afterwards."""
 
