--- a/packages/wagtailline/tests/test_distribution_faults.py
+++ b/packages/wagtailline/tests/test_distribution_faults.py
@@ -4,6 +4,12 @@
 
 import pytest
 
+from wagtailline.distribution import DistributionSettings
+from wagtailline.distribution.messages import (
+    HeadNotice,
+    HeadReply,
+    HeadRequest,
+)
 from wagtailline.objects import Endpoint
 from wagtailline_lab.distribution_fleet import run_scene
 from wagtailline_lab.network import LinkQuality
@@ -163,6 +169,25 @@
     run_scene(scenario)
 
 
+def test_anti_entropy_alone_converges():
+    """I13: when the trees lose every notice, random peers must do."""
+
+    async def scenario(scene):
+        carry = scene.network.carry
+
+        def lose_notices(sender, message):
+            if not isinstance(message, HeadNotice):
+                carry(sender, message)
+
+        scene.network.carry = lose_notices
+        for version in (2, 3):
+            _change(scene, version)
+            assert await scene.converge(version, _HEALED_SECONDS)
+
+    # More members than the readers and those that probe them.
+    run_scene(scenario, data_centres=1, members=16)
+
+
 def test_lossy_network_converges():
     """What is lost, doubled and reordered must be repaired afterwards."""
 
@@ -181,3 +206,31 @@
     run_scene(
         scenario, quality=LinkQuality(0.001, 0.3, loss=0.2, duplication=0.2)
     )
+
+
+def test_joins_beyond_the_limit_wait_their_turn():
+    """A mass restart must not make the survivors serve everyone at once."""
+
+    async def scenario(scene):
+        asked, *others = scene.fleet.processes.values()
+        replies = [
+            await one.links.request(
+                asked.member.endpoint, HeadRequest(), HeadReply, 1
+            )
+            for one in others
+        ]
+        admitted = [one for one in replies if not one.unwrap().retry_after_ms]
+        assert len(admitted) == 2
+        assert all(len(one.unwrap().buckets) == 256 for one in admitted)
+        for endpoint in list(scene.fleet.processes)[1:]:
+            await scene.fleet.kill(endpoint)
+        for endpoint in list(scene.fleet.members)[1:]:
+            await scene.fleet.start(endpoint)
+        assert await scene.converge(1, _HEALED_SECONDS)
+
+    run_scene(
+        scenario,
+        data_centres=1,
+        members=12,
+        settings=DistributionSettings(max_transfers=2),
+    )
