--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
@@ -136,9 +136,7 @@
 async def _serve_gate(ready: Connection, upstream: int) -> None:
     client = await make_upstream_client(upstream)
     server = CallServer(client, make_hello('far-0'))
-    transport = StreamTransport(
-        make_codec(), max_frame_bytes=MAX_CALL_FRAME_BYTES
-    )
+    transport = make_transport()
     listener = await transport.serve(Address(HOST, 0), server.accept)
     ready.send(listener.address.port)
     await asyncio.Event().wait()
