--- a/packages/wagtailline/src/wagtailline/calls/_connection.py
+++ b/packages/wagtailline/src/wagtailline/calls/_connection.py
@@ -9,12 +9,12 @@
 from wagtailline.calls._bodies import (
     PIECE_BYTES,
     IncomingBody,
-    SendWindow,
     WholeBody,
     close_body,
     send_pieces,
 )
 from wagtailline.calls._deadline import Deadline
+from wagtailline.calls._sent_call import SentCall
 from wagtailline.calls._types import Answer, Body, CallRequest, Refusal
 from wagtailline.calls.messages import (
     AnswerBody,
@@ -34,36 +34,6 @@
 _NOT_SENT = Refusal('connection_lost', 'no')
 
 
-class _SentCall:
-    """What the sender keeps of a call until its answer has ended."""
-
-    def __init__(self, make_body: Callable[[], IncomingBody]) -> None:
-        self.head: asyncio.Future[Result[Answer, Refusal]] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._make_body = make_body
-        self._body: IncomingBody | None = None
-        self.window = SendWindow()
-        self.sender: asyncio.Task[None] | None = None
-
-    @property
-    def answer(self) -> IncomingBody:
-        """Return the body; most answers come whole and need none."""
-        if self._body is None:
-            self._body = self._make_body()
-        return self._body
-
-    def settle(self, outcome: Result[Answer, Refusal]) -> None:
-        """Give the outcome; a second one changes nothing."""
-        if not self.head.done():
-            self.head.set_result(outcome)
-
-    def stop_sending(self) -> None:
-        """Send no more of the body."""
-        if self.sender is not None:
-            self.sender.cancel()
-
-
 class CallConnection:
     """One connection to a gate."""
 
@@ -80,7 +50,7 @@
         self._channel = channel
         self._address = address
         self._forget = forget
-        self._calls: dict[int, _SentCall] = {}
+        self._calls: dict[int, SentCall] = {}
         self._numbers = count(1)
         self._retired = False
         self._ended = False
@@ -132,7 +102,7 @@
             self._cancel(number)
             raise
 
-    def _register(self, number: int, stall_seconds: float) -> _SentCall:
+    def _register(self, number: int, stall_seconds: float) -> SentCall:
         async def grant(limit: int) -> None:
             try:
                 await self._channel.send(CallCredit(number, limit))
@@ -144,12 +114,12 @@
                 grant, lambda: self._cancel(number), stall_seconds
             )
 
-        call = _SentCall(make_body)
+        call = SentCall(make_body)
         self._calls[number] = call
         return call
 
     async def _send_start(
-        self, number: int, call: _SentCall, request: CallRequest, body: Body
+        self, number: int, call: SentCall, request: CallRequest, body: Body
     ) -> None:
         if isinstance(body, WholeBody) and len(body.content) <= PIECE_BYTES:
             await self._channel.send(
@@ -162,7 +132,7 @@
         )
 
     async def _send_body(
-        self, number: int, call: _SentCall, request: CallRequest, body: Body
+        self, number: int, call: SentCall, request: CallRequest, body: Body
     ) -> None:
         async def send(offset: int, content: bytes) -> None:
             await self._channel.send(
@@ -279,7 +249,7 @@
             self._forget_call(number)
         return outcome
 
-    def _forget_if_over(self, number: int, call: _SentCall) -> None:
+    def _forget_if_over(self, number: int, call: SentCall) -> None:
         # The head may arrive behind the end, so both are needed.
         if call.head.done() and call.answer.is_over:
             self._forget_call(number)
