Make the state machine denser and split the outcomes by method

Cause: the machine did not find a record evicted without a trace. Change: two positions, bounds of two and three records, longer settling.

--- a/packages/wagtailline/src/wagtailline/admission/_upstream.py
+++ b/packages/wagtailline/src/wagtailline/admission/_upstream.py
@@ -48,7 +48,11 @@
         """
         match outcome:
             case Answered():
-                return self._answered(slot, outcome, now)
+                self._learn(slot, outcome, now)
+                return self._watch.answered(slot, now)
+            case RefusedByUpstream():
+                self.limit.overloaded(slot.started, now)
+                return self._watch.answered(slot, now)
             case ConnectionRefused():
                 self.availability.refused(now)
                 self.limit.restart(now)
@@ -57,14 +61,7 @@
                 return self._reset(slot, others, now, idle)
             case ResetLater():
                 return self._reset(slot, others, now, idle=False)
-            case RefusedByUpstream():
-                self.limit.overloaded(slot.started, now)
-                return self._watch.answered(slot, now)
-            case TimedOut():
-                self.limit.overloaded(slot.started, now)
-            case Unused():
-                return ()
-        return self._watch.left(slot, now)
+        return self._left(slot, outcome, now)
 
     def check_stall(self, in_progress: Collection[Slot], now: float) -> None:
         """Lower the limit when most requests are unanswered for long."""
@@ -75,9 +72,7 @@
         if stalled >= _MIN_STALLED and stalled * 2 > len(in_progress):
             self.limit.overloaded(oldest.started, now)
 
-    def _answered(
-        self, slot: Slot, outcome: Answered, now: float
-    ) -> Fingerprints:
+    def _learn(self, slot: Slot, outcome: Answered, now: float) -> None:
         self.availability.answered()
         held = now - slot.started
         self.mean_hold += (held - self.mean_hold) * _HOLD_GAIN
@@ -87,7 +82,13 @@
             self.limit.answered(
                 slot.ticket.kind, outcome.latency, slot.started, now
             )
-        return self._watch.answered(slot, now)
+
+    def _left(self, slot: Slot, outcome: Outcome, now: float) -> Fingerprints:
+        if isinstance(outcome, Unused):
+            return ()
+        if isinstance(outcome, TimedOut):
+            self.limit.overloaded(slot.started, now)
+        return self._watch.left(slot, now)
 
     def _reset(
         self, slot: Slot, others: Collection[Slot], now: float, idle: bool
--- a/packages/wagtailline/tests/test_at_most_once.py
+++ b/packages/wagtailline/tests/test_at_most_once.py
@@ -52,13 +52,13 @@
 from wagtailline_lab.virtual import new_virtual_loop
 
 _EPOCH = 1_700_000_000
-_POSITIONS = ('e0', 'e1', 'e2')
-_SETS = (_POSITIONS, _POSITIONS, ('e0', 'e1'), ('e2',))
+_POSITIONS = ('e0', 'e1')
+_SETS = (_POSITIONS, ('e0',), ('e1',))
 _STEPS = ('arrived', 'begun', 'admitted', 'marked', 'sent', 'answered')
 _FAULTS = ('none', 'none', 'daemon', 'upstream', 'caller')
 _WINDOW = 600
 _SLOTS = 2
-_SETTINGS = ExecutionSettings(max_records_per_account=3, max_records=6)
+_SETTINGS = ExecutionSettings(max_records_per_account=2, max_records=3)
 
 
 class RequestKey(NamedTuple):
@@ -181,7 +181,7 @@
 
     @rule(
         target=keys,
-        settle=st.sampled_from((13, 13, 13, 0.5)),
+        settle=st.sampled_from((16, 16, 16, 0.1, 0.1)),
         account=st.sampled_from('aab'),
         ahead=st.sampled_from((0, 0, 0, 0, 0, 1.5, 9, -1, -14, -100)),
         timed=st.sampled_from((True, True, True, True, False)),
@@ -362,7 +362,7 @@
     run_state_machine_as_test(
         AtMostOnce,
         settings=settings(
-            max_examples=150,
+            max_examples=100,
             stateful_step_count=25,
             deadline=None,
             derandomize=True,
