--- /dev/null
+++ b/examples/gate.py
@@ -0,0 +1,45 @@
+"""Bounds the requests to a local server with a gate.
+
+Run it with ``python examples/gate.py``.
+"""
+
+import asyncio
+from random import SystemRandom
+
+from result import Err, Ok
+
+from wagtailline.admission import Answered, Gate, GateIdentity, Ticket
+from wagtailline.ports import LoopClock
+
+_REQUESTS = 40
+_WORK_SECONDS = 0.01
+
+
+async def handle_request(gate: Gate, number: int) -> str:
+    """Run one request if the gate admits it."""
+    loop = asyncio.get_running_loop()
+    account = 'small' if number % 4 == 0 else 'large'
+    ticket = Ticket(account, 1, loop.time() + 1, f'request {number}'.encode())
+    match await gate.admit(ticket):
+        case Ok(slot):
+            await asyncio.sleep(_WORK_SECONDS)
+            slot.release(Answered(_WORK_SECONDS, 200))
+            return 'answered'
+        case Err(refusal):
+            return f'not run: {type(refusal).__name__}'
+    raise AssertionError(number)
+
+
+async def main() -> None:
+    """Send requests at once and count how they ended."""
+    gate = Gate(GateIdentity('local', 1), 4, LoopClock(), SystemRandom())
+    outcomes = await asyncio.gather(
+        *(handle_request(gate, number) for number in range(_REQUESTS))
+    )
+    for outcome in sorted(set(outcomes)):
+        print(outcome, outcomes.count(outcome))
+    gate.close()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
