--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/membership.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/membership.py
@@ -9,53 +9,37 @@
 import argparse
 import asyncio
 import time
-import tracemalloc
 from collections.abc import Callable
 from itertools import repeat
-from random import Random
 from statistics import median
 from typing import NamedTuple
 
-from wagtailline.codec import Codec
 from wagtailline.membership import (
-    MEMBERSHIP_KINDS,
     Member,
     MembershipSettings,
     MemberTable,
 )
-from wagtailline.membership.messages import MemberUpdate, News
-from wagtailline.ports import Address
-from wagtailline_lab.fleet import Fleet, Node, run_fleet
+from wagtailline_lab.bench._membership_baseline import (
+    DATA_CENTRE,
+    MICROSECONDS,
+    SEED,
+    Rate,
+    Spread,
+    measure_heartbeats,
+    measure_memory,
+)
+from wagtailline_lab.membership_fleet import Fleet, Node, run_fleet
 
 SIZES = (50, 200, 745, 1500)
 FLEET_SIZE = 8200
-_DATA_CENTRE = 'lhe1'
-_SEED = 7
 _SETTLE_SECONDS = 20.0
 _REST_SECONDS = 20.0
 _POLL_SECONDS = 0.1
 _LIMIT_SECONDS = 120.0
 _PAUSE_SECONDS = 20.0
-_HEARTBEAT_TIMEOUT = 3.0
-_MICROSECONDS = 1_000_000
 _NEVER_SECONDS = 1_000_000.0
 
 
-class Rate(NamedTuple):
-    """Cost for each member and second."""
-
-    sent_bytes: float
-    messages: float
-    cpu_microseconds: float
-
-
-class Spread(NamedTuple):
-    """Seconds until the median and the last member know."""
-
-    median: float
-    last: float
-
-
 class Measured(NamedTuple):
     """Results of one number of members."""
 
@@ -83,7 +67,7 @@
         seconds = asyncio.get_running_loop().time() - self._begun
         divisor = seconds * len(self._fleet.live())
         traffic = self._fleet.traffic()
-        cpu = (time.process_time() - self._cpu) * _MICROSECONDS
+        cpu = (time.process_time() - self._cpu) * MICROSECONDS
         return Rate(
             (traffic.sent_bytes - self._traffic.sent_bytes) / divisor,
             (traffic.messages - self._traffic.messages) / divisor,
@@ -110,7 +94,7 @@
     victim = fleet.nodes[len(fleet.nodes) // 2]
     await fleet.kill(victim)
     death = await _spread(fleet, lambda node: not _answers(node, victim.member))
-    successor = fleet.add(victim.member.endpoint, _DATA_CENTRE)
+    successor = fleet.add(victim.member.endpoint, DATA_CENTRE)
     starting = asyncio.create_task(successor.service.start())
     replacement = await _spread(
         fleet, lambda node: _answers(node, successor.member)
@@ -137,16 +121,16 @@
     settings = MembershipSettings(
         list_interval=_NEVER_SECONDS, foreign_list_interval=_NEVER_SECONDS
     )
-    fleet = Fleet(_SEED, settings=settings)
+    fleet = Fleet(SEED, settings=settings)
     template = MemberTable()
     for index in range(size):
-        added = fleet.add(f'catalogue-lhe1-{index:04}', _DATA_CENTRE)
+        added = fleet.add(f'catalogue-lhe1-{index:04}', DATA_CENTRE)
         template.update(added.member)
     fleet.lists.available = False
     for started in fleet.nodes:
         started.table.adopt(template)
     await asyncio.gather(*(one.service.start() for one in fleet.nodes))
-    fleet.lists.write(_DATA_CENTRE, [one.member for one in fleet.nodes])
+    fleet.lists.write(DATA_CENTRE, [one.member for one in fleet.nodes])
     fleet.lists.available = True
     await asyncio.sleep(_SETTLE_SECONDS)
     return fleet
@@ -161,7 +145,7 @@
     live = fleet.live()
     for victim in fleet.random.sample(live, len(live) // 10):
         await fleet.kill(victim)
-        fleet.add(victim.member.endpoint, _DATA_CENTRE)
+        fleet.add(victim.member.endpoint, DATA_CENTRE)
     meter = Meter(fleet)
     begun = asyncio.get_running_loop().time()
     await asyncio.sleep(1)
@@ -179,65 +163,6 @@
     return meter.read(), peak, elapsed
 
 
-def measure_heartbeats(size: int) -> tuple[Rate, Spread]:
-    """Send one round of heartbeats from each member to each other one.
-
-    A member is taken for dead when three seconds pass without one.
-    """
-    codec = Codec(MEMBERSHIP_KINDS)
-    members = make_members(size)
-    heard: list[dict[str, float]] = [{} for _ in members]
-    sent_bytes = 0
-    begun = time.process_time()
-    for sender in members:
-        message = MemberUpdate(News((sender,)))
-        for receiver in range(size - 1):
-            frame = codec.encode(message)
-            sent_bytes += len(frame)
-            received = codec.decode(frame).unwrap()
-            if isinstance(received, MemberUpdate):
-                heard[receiver][received.news.members[0].endpoint] = begun
-    cpu = (time.process_time() - begun) * _MICROSECONDS
-    random = Random(_SEED)
-    # Each receiver's last heartbeat is up to one interval before the death.
-    known = [_HEARTBEAT_TIMEOUT - random.random() for _ in members]
-    rate = Rate(sent_bytes / size, size - 1, cpu / size)
-    return rate, Spread(median(known), max(known))
-
-
-def measure_memory(size: int) -> int:
-    """Return the bytes of a table of decoded statements."""
-    codec = Codec(MEMBERSHIP_KINDS)
-    frames = [
-        codec.encode(MemberUpdate(News((member,))))
-        for member in make_members(size)
-    ]
-    tracemalloc.start()
-    table = MemberTable()
-    for frame in frames:
-        update = codec.decode(frame).unwrap()
-        if isinstance(update, MemberUpdate):
-            table.update(update.news.members[0])
-    table.in_data_centre(_DATA_CENTRE)
-    used, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return used
-
-
-def make_members(size: int) -> list[Member]:
-    """Return statements with names of realistic length."""
-    return [
-        Member(
-            f'catalogue-lhe1-{index:04}',
-            f'vm-{index:05}',
-            _DATA_CENTRE,
-            Address(f'10.0.{index >> 8}.{index & 255}', 7000),
-            1_800_000_000_000 + index,
-        )
-        for index in range(size)
-    ]
-
-
 async def _spread(fleet: Fleet, condition: Callable[[Node], bool]) -> Spread:
     begun = asyncio.get_running_loop().time()
     waiting = fleet.live()
@@ -264,8 +189,8 @@
 
 def _agree(fleet: Fleet) -> bool:
     live = fleet.live()
-    digests = {node.table.digest(_DATA_CENTRE) for node in live}
-    sizes = {len(node.table.in_data_centre(_DATA_CENTRE)) for node in live}
+    digests = {node.table.digest(DATA_CENTRE) for node in live}
+    sizes = {len(node.table.in_data_centre(DATA_CENTRE)) for node in live}
     return len(digests) == 1 and sizes == {len(live)}
 
 
--- a/packages/wagtailline-lab/src/wagtailline_lab/fleet.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/membership_fleet.py
@@ -1,13 +1,11 @@
 """Many membership services in one process on virtual time."""
 
 import asyncio
-import json
 from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any, NamedTuple, TypeVar
 
 import looptime
-from result import Err, Ok, Result
 
 from wagtailline.codec import Codec, Message
 from wagtailline.membership import (
@@ -19,81 +17,16 @@
     MemberTable,
     Published,
 )
-from wagtailline.ports import (
-    Address,
-    LoopClock,
-    SourceFailure,
-    SourceKeyMissing,
-    SourceReading,
-    SourceUnavailable,
-)
+from wagtailline.ports import Address, LoopClock
+from wagtailline_lab._membership_ports import WALL_OFFSET, Lists, PausableClock
 from wagtailline_lab.network import LinkQuality
 
 _CODEC = Codec(MEMBERSHIP_KINDS)
 _LENGTH_BYTES = 4
-_WALL_OFFSET = 1_800_000_000.0
 _FIRST_PORT = 1
 _Returned = TypeVar('_Returned')
 
 
-class PausableClock(LoopClock):
-    """Clock of a process that can be stopped; time runs on meanwhile."""
-
-    def __init__(self) -> None:
-        """Begin to run, with wall time at a fixed offset."""
-        super().__init__(_WALL_OFFSET)
-        self.running = asyncio.Event()
-        self.running.set()
-
-    async def sleep(self, seconds: float) -> None:
-        """Suspend the calling task, at least until the process runs."""
-        await super().sleep(seconds)
-        await self.running.wait()
-
-
-class Lists:
-    """Source of the platform's lists of vms, which a test writes."""
-
-    def __init__(self) -> None:
-        """Begin available, without lists."""
-        self.written: dict[str, bytes] = {}
-        self.available = True
-        self.reads = 0
-
-    async def read(self, key: str) -> Result[SourceReading, SourceFailure]:
-        """Return the list as it was last written."""
-        self.reads += 1
-        if not self.available:
-            return Err(SourceUnavailable('stopped'))
-        if key not in self.written:
-            return Err(SourceKeyMissing(key))
-        return Ok(SourceReading(1, self.written[key]))
-
-    async def watch(
-        self, key: str, after: int, wait_seconds: float
-    ) -> Result[SourceReading | None, SourceFailure]:
-        """Wait in vain; the service reads at intervals."""
-        await asyncio.sleep(wait_seconds)
-        return Ok(None)
-
-    def write(self, data_centre: str, members: list[Member]) -> None:
-        """Replace a list by these members."""
-        self.written[f'vms/{data_centre}'] = json.dumps(
-            [
-                {
-                    'vm': member.vm,
-                    'endpoint': member.endpoint,
-                    'data_centre': member.data_centre,
-                    'host': member.address.host,
-                    'port': member.address.port,
-                    'incarnation': member.incarnation,
-                    'leaving': member.leaving,
-                }
-                for member in members
-            ]
-        ).encode()
-
-
 class Traffic(NamedTuple):
     """Messages and bytes sent since the start of the fleet."""
 
@@ -211,7 +144,7 @@
         """Create the process that now starts at an endpoint."""
         number = len(self.nodes) + _FIRST_PORT
         address = Address(f'127.0.{number >> 8}.{number & 255}', 7000)
-        started = int(LoopClock(_WALL_OFFSET).wall() * 1000)
+        started = int(LoopClock(WALL_OFFSET).wall() * 1000)
         member = Member(
             endpoint, f'vm-{number:05}', data_centre, address, started
         )
--- a/packages/wagtailline/tests/membership/_waiting.py
+++ b/packages/wagtailline/tests/membership/_waiting.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from wagtailline_lab.fleet import Fleet, Node
+from wagtailline_lab.membership_fleet import Fleet, Node
 
 STEP_SECONDS = 0.25
 
--- a/packages/wagtailline/tests/membership/test_failures.py
+++ b/packages/wagtailline/tests/membership/test_failures.py
@@ -6,7 +6,7 @@
 
 from wagtailline.membership import MembershipSettings
 from wagtailline.membership.messages import Doubt, MemberUpdate, News
-from wagtailline_lab.fleet import run_fleet
+from wagtailline_lab.membership_fleet import run_fleet
 from wagtailline_lab.network import LinkQuality
 
 from ._waiting import agree, replace, start_fleet, wait_until, write_lists
--- a/packages/wagtailline/tests/membership/test_machine.py
+++ b/packages/wagtailline/tests/membership/test_machine.py
@@ -12,7 +12,7 @@
     rule,
 )
 
-from wagtailline_lab.fleet import Fleet, Node
+from wagtailline_lab.membership_fleet import Fleet, Node
 from wagtailline_lab.network import LinkQuality
 
 from ._waiting import agree, holders, wait_until, write_lists
