Record two faults of the fence that are not fixed

Cause: the fence of homes relies on majorities of witnesses that intersect. Conclusion: open; one replaced or doubly held witness in a group is borne.

--- a/packages/wagtailline/tests/test_allowance_changes.py
+++ b/packages/wagtailline/tests/test_allowance_changes.py
@@ -229,3 +229,45 @@
         check_bound(fleet)
 
     run_simulation(scenario())
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt: replaced witnesses')
+def test_all_positions_replaced_while_the_old_ones_are_cut_off():
+    """Guards a share whose homes and witnesses were all replaced at once."""
+
+    async def scenario():
+        limits = (Limit('a', 10, 20, {'dc0': 1}),)
+        fleet, processes = await start_fleet((4, 4), limits)
+        old = [one for one in processes if one.data_centre == 'dc0']
+        cut_off(fleet, [*old, processes[-1]])
+        added = [
+            Endpoint(f'dc0-n{number}', 'archive', 'dc0', 6, 120)
+            for number in range(4)
+        ]
+        _publish(fleet, limits[0], (0, 4), added)
+        for endpoint in added:
+            await fleet.start(endpoint)
+        fleet.install(without(processes, *old, processes[-1]))
+        await flood(fleet, fleet.daemons, 15, 0.05)
+        check_bound(fleet)
+
+    run_simulation(scenario())
+
+
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt: doubly held witnesses')
+def test_all_positions_held_twice_by_parts_that_do_not_meet():
+    """Guards a share whose home and witnesses all have two holders."""
+
+    async def scenario():
+        fleet, processes = await start_fleet((4, 4))
+        old = [one for one in processes if one.data_centre == 'dc0']
+        cut_off(fleet, [*old, processes[-1]])
+        for process in old:
+            await fleet.start(fleet.latest.find_endpoint(process.endpoint))
+        for process in (*old, processes[-1]):
+            for holder in old:
+                fleet.network.views[process, holder.endpoint] = holder
+        await flood(fleet, fleet.daemons, 15, 0.05)
+        check_bound(fleet)
+
+    run_simulation(scenario())
