Measure the footprint of one daemon without polling it

Cause: polling the status distorted the processor time of a change. Change: changes are published at a fixed pace and the process is read before and after.

--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
@@ -18,7 +18,7 @@
 
 from wagtailline_lab.bench.path import resident_kib
 from wagtailline_lab.deployments import Shape
-from wagtailline_lab.mesh import HOST, Mesh
+from wagtailline_lab.mesh import HOST, Mesh, find_free_ports
 
 SIZES = (512, 2048, 4096, 8200)
 SERVICES = 500
@@ -30,7 +30,9 @@
 _KIB = 1024
 _POLL_SECONDS = 0.02
 _GIVE_UP_SECONDS = 90.0
-_REST_SECONDS = 10.0
+_SETTLE_SECONDS = 15.0
+_PERIOD_SECONDS = 10.0
+_PORTS = 16
 _TICKS = os.sysconf('SC_CLK_TCK')
 
 
@@ -40,8 +42,8 @@
     endpoints: int
     first_snapshot_seconds: float
     resident_mib: float
-    change_cpu_ms: float
     rest_cpu_percent: float
+    change_cpu_ms: float
 
 
 def make_shape(endpoints: int) -> Shape:
@@ -98,7 +100,9 @@
 async def measure(endpoints: int) -> Footprint:
     """Run one daemon with a set of this size."""
     with tempfile.TemporaryDirectory(prefix='wagtailline-') as name:
-        mesh = SingleDaemonMesh(make_shape(endpoints), Path(name))
+        mesh = SingleDaemonMesh(
+            make_shape(endpoints), Path(name), find_free_ports(_PORTS)
+        )
         try:
             return await _measure_daemon(mesh, endpoints)
         finally:
@@ -109,25 +113,29 @@
     await mesh.start()
     process = mesh.members[0].process.pid
     first = await _await_version(mesh, 1)
-    before = cpu_seconds(process)
-    await asyncio.sleep(_REST_SECONDS)
-    resting = (cpu_seconds(process) - before) / _REST_SECONDS
-    started = time.monotonic()
-    before = cpu_seconds(process)
-    for number in range(CHANGES):
-        mesh.set['routes'][number]['timeout_ms'] = 9_000
-        await _await_version(mesh, mesh.publish())
-    spent = cpu_seconds(process) - before
-    spent -= resting * (time.monotonic() - started)
+    await asyncio.sleep(_SETTLE_SECONDS)
+    resting = await _spend(process)
+    changing = await _spend(process, mesh)
     return Footprint(
         endpoints,
         first,
         resident_kib(process) / _KIB,
-        spent / CHANGES * 1000,
         resting * 100,
+        (changing - resting) * _PERIOD_SECONDS / CHANGES * 1000,
     )
 
 
+async def _spend(process: int, changed: Mesh | None = None) -> float:
+    """Return the processor share of a period, with changes if given."""
+    before = cpu_seconds(process)
+    for number in range(CHANGES):
+        if changed is not None:
+            changed.set['routes'][number]['timeout_ms'] += 1
+            changed.publish()
+        await asyncio.sleep(_PERIOD_SECONDS / CHANGES)
+    return (cpu_seconds(process) - before) / _PERIOD_SECONDS
+
+
 async def _await_version(mesh: Mesh, version: int) -> float:
     started = time.monotonic()
     url = f'http://{HOST}:{mesh.members[0].ports.operator}/v1/status'
--- a/packages/wagtailline-lab/src/wagtailline_lab/deployments.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/deployments.py
@@ -126,4 +126,9 @@
 
 
 def _route(service: str) -> dict[str, Any]:
-    return {'name': service, 'prefix': f'/{service}', 'service': service}
+    return {
+        'name': service,
+        'prefix': f'/{service}',
+        'service': service,
+        'timeout_ms': 10_000,
+    }
