--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/distribution.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/distribution.py
@@ -38,9 +38,9 @@
 TARGET_KEYS = 500
 JOIN_SECONDS = 12
 REST_SECONDS = 20
-CHANGING_SECONDS = 30
 # 15,000 changes a day.
 CHANGE_PERIOD_SECONDS = 86_400 / 15_000
+CHANGING_SECONDS = 5 * CHANGE_PERIOD_SECONDS
 BURST_CHANGES = 100
 BURST_PERIOD_SECONDS = 0.01
 CUT_SECONDS = 20
@@ -202,11 +202,16 @@
 
 
 async def _disturb(bench: _Bench, rest: Load) -> Row:
+    _log('rest', rest)
     change = await bench.change()
     change_calls = await bench.calls_after(1, restart=False)
+    _log('change', change)
     burst = await bench.burst()
+    _log('burst', burst)
     changing = await bench.load(CHANGING_SECONDS, changes=True)
+    _log('changing', changing)
     healed = await bench.heal()
+    _log('return', healed)
     restart = await bench.calls_after(RESTART_SECONDS, restart=True)
     return Row(
         change,
@@ -219,6 +224,11 @@
     )
 
 
+def _log(phase: str, measured: object) -> None:
+    """Show the progress of runs that take minutes."""
+    print(f'{phase}: {measured}', file=sys.stderr, flush=True)
+
+
 def _resident_bytes() -> int:
     pages = Path('/proc/self/statm').read_text().split()[1]
     return int(pages) * resource.getpagesize()
