Let majorities of data centres decide between owners of idempotency keys

Cause: a stale source confirmed an old version, so a former owner of keys could go on while the new one had begun (found by the model check of the at-most-once rule). Change: a former owner goes on only while a majority of the data centres answers and none knows a newer version; a new owner gives up lost keys at once and gains others when a majority holds its version; a superseded process drains its gate. Meshes reserve blocks of ports. Weighed: every data centre has to answer (one lost data centre would stop all payments), and the source (may be stale). Conclusion: the double execution is closed; a partitioned minority refuses keyed calls after 10 s.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
@@ -28,6 +28,7 @@
     membership: MembershipService
     distribution: Distribution
     allowance: Allowance
+    names: PublishedNames
 
 
 def build_mesh(base: Base) -> Mesh:
@@ -36,6 +37,7 @@
     transport = _build_transport(base)
     links = PeerLinks(base.member, base.members, transport, base.clock)
     peers = PeerRequests(links, base.codec)
+    names = PublishedNames(base.store, base.settings.data_centre)
     membership = MembershipService(
         base.member,
         Environment(
@@ -46,7 +48,7 @@
             MembershipSettings(),
         ),
         source,
-        PublishedNames(base.store, base.settings.data_centre).published(),
+        names.published(),
         lambda data_centre, failure: base.events.warning(
             VmListRejected(data_centre, str(failure))
         ),
@@ -58,6 +60,7 @@
         base.member.incarnation,
     )
     return Mesh(
+        names=names,
         links=links,
         peers=peers,
         membership=membership,
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
@@ -70,7 +70,9 @@
         'distribution': mesh.distribution,
         'membership': mesh.membership,
         'allowance': mesh.allowance,
-        'execution_confirmer': ExecutionConfirmer(base.kernel, base.clock),
+        'execution_confirmer': ExecutionConfirmer(
+            base.kernel, base.clock, base.random, mesh.names.data_centres
+        ),
         'call_metrics': calls.metrics,
         'monitor': Monitor(base.kernel, base.clock, base.metrics, base.events),
     }
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
@@ -3,45 +3,80 @@
 A record of executions is only worth its name while no other process decides
 on the same keys. That rests on two things: this process still holds its
 endpoint, and no newer version has moved the keys to another endpoint.
+
+The source alone can't tell the second: it may be stale. So both sides ask
+the data centres. A former owner goes on only while a majority of them has
+told that it knows no newer version; a new owner begins only when a majority
+has told that it holds the version that made it one. Two majorities share a
+data centre, and a data centre's version never falls, so the former owner's
+last confirmation comes before the new owner's beginning.
 """
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
+from random import Random
+from typing import NamedTuple
 
 from wagtailline.distribution import Distribution, FleetReport
-from wagtailline.executions import ExecutionRecords, Instant
+from wagtailline.executions import ExecutionRecords, Instant, Ownership
 from wagtailline.kernel import Kernel
 from wagtailline.membership import MembershipService
 from wagtailline.ports import Clock
 from wagtailline_daemon.gate_service import GateService
 
 PERIOD_SECONDS = 0.5
-# Largest difference between the wall clocks of two vms: the age of a
-# snapshot rests on the reader's clock.
-CLOCK_ALLOWANCE_SECONDS = 2.0
-# Up to this age the source's confirmation is used; above it the source is
-# taken to be down and the other data centres are asked.
-FRESH_SECONDS = 6.0
 # A report asks a reader of each data centre, so it is made only by gates
-# that have had keyed calls recently, and not more often than this.
+# that have had keyed calls recently, and not more often than this. Two
+# reports may fail before the 10 s of a confirmation have passed.
 REPORT_SECONDS = 3.0
 RECENT_USE_SECONDS = 30.0
 
 
+class Judgement(NamedTuple):
+    """What a report allows: to go on, and to begin with gained keys."""
+
+    is_newest: bool
+    is_held: bool
+
+
+def judge_report(
+    report: FleetReport, version: int, data_centres: int
+) -> Judgement:
+    """Compare the data centres that answered with the version in force.
+
+    ``data_centres`` is the number of published ones.
+    """
+    versions = [centre.version for centre in report.data_centres]
+    majority = data_centres // 2 + 1
+    is_newest = len(versions) >= majority and max(versions) <= version
+    holders = sum(held >= version for held in versions)
+    return Judgement(is_newest, holders >= majority)
+
+
 class ExecutionConfirmer:
     """Keeps the execution records confirmed while that is justified."""
 
-    def __init__(self, kernel: Kernel, clock: Clock) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        clock: Clock,
+        random: Random,
+        data_centres: Callable[[], tuple[str, ...]],
+    ) -> None:
         """Look the other services up by name at the start."""
         self._kernel = kernel
         self._clock = clock
-        self._reported = Instant(float('-inf'), float('-inf'))
+        self._random = random
+        self._data_centres = data_centres
+        self._asked = float('-inf')
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin to confirm."""
         find = self._kernel.find
         self._records = find('executions', ExecutionRecords).unwrap()
+        self._ownership = find('ownership', Ownership).unwrap()
         self._membership = find('membership', MembershipService).unwrap()
         self._distribution = find('distribution', Distribution).unwrap()
         self._service = find('gate_service', GateService).unwrap()
@@ -56,43 +91,37 @@
 
     async def _repeat(self) -> None:
         while True:
-            await self._confirm()
-            await self._clock.sleep(PERIOD_SECONDS)
+            if self._is_due():
+                await self._confirm()
+            await self._clock.sleep(
+                PERIOD_SECONDS * self._random.uniform(0.5, 1)
+            )
+
+    def _is_due(self) -> bool:
+        now = self._clock.monotonic()
+        if now - self._asked < REPORT_SECONDS:
+            return False
+        is_used = now - self._service.last_keyed_call < RECENT_USE_SECONDS
+        return is_used or self._ownership.is_pending
 
     async def _confirm(self) -> None:
+        asked = Instant(self._clock.monotonic(), self._clock.wall())
+        self._asked = asked.monotonic
+        version = self._distribution.version.version
+        report = await self._distribution.report()
         held = self._membership.confirmed_at
-        current = await self._find_current()
-        ready = self._membership.takes_part and self._distribution.is_ready
-        if held is None or current is None or not ready:
+        is_holder = self._membership.takes_part and held is not None
+        if not self._distribution.is_ready or not is_holder:
             return
-        # The wall clock of the earlier confirmation, for suspended vms.
-        lag = max(current.monotonic - held, 0)
-        self._records.confirm(
-            Instant(current.monotonic - lag, current.wall - lag)
-        )
-
-    async def _find_current(self) -> Instant | None:
-        """Return when the snapshot was last known to be the newest."""
-        now = self._instant()
-        age = self._distribution.age_seconds()
-        if age is not None and age <= FRESH_SECONDS:
-            lag = age + CLOCK_ALLOWANCE_SECONDS
-            return Instant(now.monotonic - lag, now.wall - lag)
-        last_use = self._service.last_keyed_call
-        if now.monotonic - last_use > RECENT_USE_SECONDS:
-            return None
-        if now.monotonic - self._reported.monotonic < REPORT_SECONDS:
-            return self._reported
-        report = await self._distribution.report()
-        if _is_newest(report, self._distribution.version.version):
-            self._reported = now
-            return now
-        return None
-
-    def _instant(self) -> Instant:
-        return Instant(self._clock.monotonic(), self._clock.wall())
-
-
-def _is_newest(report: FleetReport, version: int) -> bool:
-    """Tell whether every data centre has answered and none holds more."""
-    return not report.silent and report.newest <= version
+        # A version that came meanwhile may have moved keys away.
+        if self._distribution.version.version != version:
+            return
+        judgement = judge_report(report, version, len(self._data_centres()))
+        if judgement.is_held and self._ownership.is_pending:
+            now = Instant(self._clock.monotonic(), self._clock.wall())
+            self._ownership.settle(now)
+        if judgement.is_newest:
+            lag = max(asked.monotonic - (held or 0), 0)
+            self._records.confirm(
+                Instant(asked.monotonic - lag, asked.wall - lag)
+            )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/gate_supervisor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate_supervisor.py
@@ -11,14 +11,18 @@
     apply_snapshot,
 )
 from wagtailline.codec import Message
-from wagtailline.executions import Instant, Ownership
+from wagtailline.executions import Ownership
 from wagtailline.kernel import Kernel
+from wagtailline.membership import MembershipService
 from wagtailline.peer_requests import PeerRequests
 from wagtailline.ports import Clock
 from wagtailline.snapshot import Snapshot, SnapshotStore
 from wagtailline_daemon.daemon_events import SnapshotInstalled, SuspectsNoticed
 from wagtailline_daemon.events import EventLog
 
+SUPERSEDED = 'superseded'
+SUCCESSOR_SECONDS = 0.5
+
 
 class GateSupervisor:
     """Applies snapshots to the gate and spreads notices of suspects."""
@@ -39,9 +43,11 @@
         self._store = find('snapshots', SnapshotStore).unwrap()
         self._gate = find('gate', Gate).unwrap()
         self._ownership = find('ownership', Ownership).unwrap()
+        self._membership = find('membership', MembershipService).unwrap()
         self._peers = find('peer_requests', PeerRequests).unwrap()
         self._peers.register(SuspectNotice, self._take_notice)
         self._run(self._follow())
+        self._run(self._watch_successor())
 
     async def stop(self) -> None:
         """Finish the requests in progress, then end the tasks."""
@@ -84,13 +90,18 @@
             snapshot = await self._store.wait_newer(version)
             version = snapshot.version
             apply_snapshot(snapshot, self._endpoint, self._gate)
-            self._ownership.update(self._positions(snapshot), self._instant())
+            self._ownership.announce(self._positions(snapshot))
             self._events.info(
                 SnapshotInstalled(
                     version, snapshot.digest.hex(), len(snapshot.objects)
                 )
             )
 
+    async def _watch_successor(self) -> None:
+        while self._membership.successor is None:
+            await self._clock.sleep(SUCCESSOR_SECONDS)
+        self._gate.drain(SUPERSEDED)
+
     def _positions(self, snapshot: Snapshot) -> tuple[str, ...]:
         own = snapshot.find_endpoint(self._endpoint)
         if own is None:
@@ -101,9 +112,6 @@
             if snapshot.is_in_service(endpoint)
         )
 
-    def _instant(self) -> Instant:
-        return Instant(self._clock.monotonic(), self._clock.wall())
-
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
@@ -18,7 +18,8 @@
 
 from wagtailline_lab.bench.path import resident_kib
 from wagtailline_lab.deployments import Shape
-from wagtailline_lab.mesh import HOST, Mesh, find_free_ports
+from wagtailline_lab.mesh import HOST, Mesh
+from wagtailline_lab.port_blocks import reserve_ports
 
 SIZES = (512, 2048, 4096, 8200)
 SERVICES = 500
@@ -99,14 +100,14 @@
 
 async def measure(endpoints: int) -> Footprint:
     """Run one daemon with a set of this size."""
+    block = reserve_ports(_PORTS)
     with tempfile.TemporaryDirectory(prefix='wagtailline-') as name:
-        mesh = SingleDaemonMesh(
-            make_shape(endpoints), Path(name), find_free_ports(_PORTS)
-        )
+        mesh = SingleDaemonMesh(make_shape(endpoints), Path(name), block.ports)
         try:
             return await _measure_daemon(mesh, endpoints)
         finally:
             await mesh.stop()
+            block.release()
 
 
 async def _measure_daemon(mesh: Mesh, endpoints: int) -> Footprint:
--- a/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
@@ -8,7 +8,6 @@
 import contextlib
 import json
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -22,6 +21,7 @@
 from wagtailline_ctl.releases import read_release, write_release
 from wagtailline_lab.deployments import SHAPES, Shape, key_of, make_set
 from wagtailline_lab.platform import Platform
+from wagtailline_lab.port_blocks import reserve_ports
 from wagtailline_lab.upstream import Upstream
 
 HOST = '127.0.0.1'
@@ -68,7 +68,8 @@
         self.set = make_set(shape)
         self._directory = directory
         needed = 1 + len(self.set['endpoints']) * _PORTS_PER_DAEMON
-        self._ports = tuple(ports) or find_free_ports(needed)
+        self._block = None if ports else reserve_ports(needed)
+        self._ports = self._block.ports if self._block else tuple(ports)
 
     @property
     def platform_url(self) -> str:
@@ -94,6 +95,8 @@
         for member in self.members:
             await member.upstream.stop()
         await self.platform.stop()
+        if self._block is not None:
+            self._block.release()
 
     def publish(self) -> int:
         """Publish the current set as the next version and return it."""
@@ -241,16 +244,6 @@
     )
 
 
-def find_free_ports(count: int) -> tuple[int, ...]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server((HOST, 0)))
-            for _ in range(count)
-        ]
-        return tuple(one.getsockname()[1] for one in sockets)
-
-
 def _fixed_ports(deployment: int) -> range:
     first = _FIRST_PORT + deployment * _PORTS_PER_DEPLOYMENT
     return range(first, first + _PORTS_PER_DEPLOYMENT)
