--- a/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
@@ -12,9 +12,7 @@
 last confirmation comes before the new owner's beginning.
 """
 
-import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from random import Random
 from typing import NamedTuple
 
@@ -23,6 +21,7 @@
 from wagtailline.kernel import Kernel
 from wagtailline.membership import MembershipService
 from wagtailline.ports import Clock
+from wagtailline_daemon._background import BackgroundTask
 from wagtailline_daemon.gate_service import GateService
 
 PERIOD_SECONDS = 0.5
@@ -70,7 +69,7 @@
         self._random = random
         self._data_centres = data_centres
         self._asked = float('-inf')
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._repeat)
 
     async def start(self) -> None:
         """Begin to confirm."""
@@ -80,14 +79,11 @@
         self._membership = find('membership', MembershipService).unwrap()
         self._distribution = find('distribution', Distribution).unwrap()
         self._service = find('gate_service', GateService).unwrap()
-        self._task = asyncio.create_task(self._repeat())
+        self._task.start()
 
     async def stop(self) -> None:
         """End the task."""
-        if self._task is not None:
-            self._task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._task
+        await self._task.stop()
 
     async def _repeat(self) -> None:
         while True:
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
@@ -1,14 +1,12 @@
 """Reports the state of the services as metrics, and changes as events."""
 
-import asyncio
-from contextlib import suppress
-
 from wagtailline.admission import Gate
 from wagtailline.distribution import Distribution, KeptOut
 from wagtailline.kernel import Kernel
 from wagtailline.membership import MembershipService
 from wagtailline.ports import Clock
 from wagtailline.snapshot import SnapshotStore
+from wagtailline_daemon._background import BackgroundTask
 from wagtailline_daemon.call_metrics import CallMetrics
 from wagtailline_daemon.daemon_events import (
     EndpointSuperseded,
@@ -43,7 +41,7 @@
         self._kept_out: frozenset[KeptOut] = frozenset()
         self._is_aging = False
         self._is_superseded = False
-        self._task: asyncio.Task[None] | None = None
+        self._task = BackgroundTask(self._repeat)
 
     async def start(self) -> None:
         """Begin to report."""
@@ -53,14 +51,11 @@
         self._distribution = find('distribution', Distribution).unwrap()
         self._membership = find('membership', MembershipService).unwrap()
         self._calls = find('call_metrics', CallMetrics).unwrap()
-        self._task = asyncio.create_task(self._repeat())
+        self._task.start()
 
     async def stop(self) -> None:
         """Report a last time and end."""
-        if self._task is not None:
-            self._task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._task
+        await self._task.stop()
         self._report()
 
     async def _repeat(self) -> None:
--- a/packages/wagtailline/src/wagtailline/_release.py
+++ b/packages/wagtailline/src/wagtailline/_release.py
@@ -4,6 +4,7 @@
 that a delta can be checked by rehashing only the buckets that it touches.
 """
 
+import sys
 from collections.abc import Iterable
 from hashlib import blake2b
 
@@ -60,9 +61,8 @@
     if packed[0] not in KINDS:
         return Err(MalformedContent(f'unknown kind {packed[0]}'))
     try:
-        published = msgspec.convert(
-            msgpack.unpackb(packed[2]), KINDS[packed[0]]
-        )
+        fields = [_share(field) for field in msgpack.unpackb(packed[2])]
+        published = msgspec.convert(fields, KINDS[packed[0]])
     except (ValueError, msgspec.ValidationError) as problem:
         return Err(MalformedContent(f'{packed[0]}/{packed[1]}: {problem}'))
     if published.name != packed[1]:
@@ -70,6 +70,11 @@
     return Ok(published)
 
 
+def _share(field: object) -> object:
+    """Keep one copy of each string: names stand in many objects."""
+    return sys.intern(field) if isinstance(field, str) else field
+
+
 def split_buckets(objects: ObjectMap) -> list[bytes]:
     """Return the encoded buckets of a set, by bucket index."""
     members: list[list[PackedObject]] = [[] for _ in range(BUCKET_COUNT)]
