Finish the calls of other daemons before a planned stop

Cause: a planned stop ended the upstream client and the links before the gate was empty, so forwarded calls in progress were cut; a body cut by its caller ended a call as an exception; an endpoint could have more slots than connections. Change: the stop first closes the ingress and waits, within the drain timeout, for the gate and the call server; a cut body is refused as not run; the check of the set bounds slots by connections; readers watch for 6 s, as a head every 3 s would use up the 8 KB/s of a daemon.

--- a/packages/wagtailline-ctl/tests/test_set_commands.py
+++ b/packages/wagtailline-ctl/tests/test_set_commands.py
@@ -42,11 +42,13 @@
     _run('build', f'{path} {tmp_path}/values')
     raw['routes'][0]['service'] = 'nowhere'
     raw['keys'][1]['digest'] = raw['keys'][0]['digest']
+    raw['endpoints'][0]['slots'] = 500
     _write(path, raw)
     status, _, error = _run('build', f'{path} {tmp_path}/values')
     assert status == 1
     assert 'dangling reference: kind=routes' in error
     assert 'key claimed twice' in error
+    assert 'slots exceed connections' in error
     assert read_release(tmp_path / 'values').unwrap().head.version == 1
 
 
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
@@ -22,7 +22,9 @@
 
 # Until the first snapshot gives the endpoint's own numbers.
 _FIRST_SLOTS = 1
-_MAX_CONNECTIONS = 100
+# The gate admits at most the endpoint's slots, which the check of the set
+# keeps within its connections, so this is only the largest number of slots.
+_MAX_CONNECTIONS = 4096
 
 
 class CallPath(NamedTuple):
@@ -36,6 +38,7 @@
 
 
 def build_call_path(base: Base, mesh: Mesh) -> CallPath:
+    """Make the gate, its server, the router and the ingress."""
     settings = base.settings
     supervisor = GateSupervisor(
         base.kernel, settings.endpoint, base.clock, base.events
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
@@ -1,5 +1,7 @@
 """Composition root: makes every service of the daemon and wires them."""
 
+import asyncio
+from contextlib import suppress
 from typing import NamedTuple
 
 from wagtailline.admission import Gate
@@ -20,6 +22,8 @@
 from wagtailline_daemon.settings import DaemonSettings
 
 STOPPING = 'stopping'
+INGRESS = 'ingress_http'
+_FINISH_POLL_SECONDS = 0.02
 
 
 class Daemon(NamedTuple):
@@ -43,12 +47,24 @@
         events.info(DaemonStopping(self.base.settings.vm, reason))
         await self.mesh.membership.leave()
         self.calls.gate.drain(STOPPING)
+        await self._finish_calls()
         await self.base.kernel.stop()
         self.base.tracing.stop()
         events.info(
             DaemonStopped(self.base.settings.vm, self.calls.server.in_progress)
         )
 
+    async def _finish_calls(self) -> None:
+        """Wait for calls in progress before anything that they need ends."""
+        ingress = self.base.kernel.find(INGRESS, HttpServer).unwrap()
+        seconds = self.base.settings.drain_timeout_seconds
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await ingress.stop()
+                await self.calls.gate.wait_empty()
+                while self.calls.server.in_progress:
+                    await self.base.clock.sleep(_FINISH_POLL_SECONDS)
+
 
 def build_daemon(settings: DaemonSettings) -> Daemon:
     """Make every service of the daemon; nothing runs before its start."""
@@ -97,7 +113,7 @@
         ),
     )
     base.kernel.register(
-        'ingress_http',
+        INGRESS,
         HttpServer(
             ingress_config(calls.ingress, settings.host, settings.http_port),
             Address(settings.host, settings.http_port),
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/gate_service.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate_service.py
@@ -5,7 +5,14 @@
 from result import Err, Ok, Result
 
 from wagtailline.admission import Gate, Slot, Ticket
-from wagtailline.calls import Answer, Body, CallHandler, CallRequest, Refusal
+from wagtailline.calls import (
+    Answer,
+    Body,
+    BodyTruncated,
+    CallHandler,
+    CallRequest,
+    Refusal,
+)
 from wagtailline.executions import ExecutionRecords, Instant
 from wagtailline.ports import Clock
 from wagtailline.routing import IDEMPOTENT_METHODS
@@ -58,7 +65,10 @@
         verdict = await self._parts.verifier.verify(request)
         if isinstance(verdict, Err):
             return verdict
-        content = await identify_content(body)
+        try:
+            content = await identify_content(body)
+        except BodyTruncated:
+            return Err(Refusal('body_truncated', 'no'))
         ticket = _make_ticket(
             verdict.ok_value, request, deadline, content.digest
         )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
@@ -18,7 +18,7 @@
 from wagtailline_daemon.metrics import Metrics
 
 PERIOD_SECONDS = 10.0
-# Readers confirm every 3 s, so this age means that the source or the way to
+# Readers confirm every 6 s, so this age means that the source or the way to
 # it is down.
 AGING_SECONDS = 15.0
 
--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -176,3 +176,21 @@
     milliseconds = int(time.time() * 1000)
     tail = uuid.uuid4().hex
     return str(uuid.UUID(f'{milliseconds:012x}7{tail[13:16]}8{tail[17:32]}'))
+
+
+async def test_planned_stop_of_a_gate_cuts_no_call(mesh):
+    """A gate that stops must finish the calls of other daemons."""
+    async with aiohttp.ClientSession() as session:
+        caller = _Caller(session, mesh.members[0].ports.http)
+        await caller.until(200, '/archive/1', 'studio')
+        large = asyncio.create_task(
+            caller.send('/archive/1?bytes=30000000', 'studio')
+        )
+        running = []
+        while not running:
+            await asyncio.sleep(0.01)
+            running = [one for one in mesh.members if one.upstream.running]
+        running[0].process.send_signal(signal.SIGTERM)
+        status, body = await large
+        assert (status, len(body)) == (200, 30_000_000)
+        assert await running[0].process.wait() == 0
--- a/packages/wagtailline/src/wagtailline/checks.py
+++ b/packages/wagtailline/src/wagtailline/checks.py
@@ -51,6 +51,14 @@
     other: str
 
 
+class SlotsExceedConnections(NamedTuple):
+    """An endpoint would run more requests than it accepts connections."""
+
+    name: str
+    slots: int
+    connections: int
+
+
 class OpenRouteUnlimited(NamedTuple):
     """An open route has no limit of its own."""
 
@@ -63,6 +71,7 @@
     | SharesExceedOne
     | PrefixClaimedTwice
     | OpenRouteUnlimited
+    | SlotsExceedConnections
 )
 
 
@@ -108,6 +117,9 @@
             total = sum(shares.values())
             if total > 1 + _SHARE_TOLERANCE:
                 yield SharesExceedOne(name, total)
+        case Endpoint(name=name, slots=slots, connections=connections):
+            if slots > connections:
+                yield SlotsExceedConnections(name, slots, connections)
 
 
 def _dangling(
--- a/packages/wagtailline/src/wagtailline/distribution/settings.py
+++ b/packages/wagtailline/src/wagtailline/distribution/settings.py
@@ -7,11 +7,13 @@
     """Times are seconds.
 
     A reader makes two source calls in each ``watch_seconds``, which stays
-    below the sustained rate of one call a second.
+    below the sustained rate of one call a second. One of them reads the whole
+    head of up to 20 KB, so that a watch of 3 s would use up the 8 KB/s that a
+    daemon may spend on control.
     """
 
     readers: int = 2
-    watch_seconds: float = 3
+    watch_seconds: float = 6
     source_rate: float = 1
     source_burst: int = 4
     source_backoff_seconds: float = 8
