Hold a call in progress while its gate stops

Cause: the test of a gate's planned stop passed without the wait, as the answer had left before the stop. Change: the caller stops reading, so that flow control keeps the call open. Conclusion: the test guards the order of the stop.

--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -52,6 +52,10 @@
         ) as answer:
             return answer.status, await answer.read()
 
+    def open(self, path, account):
+        headers = {'Authorization': f'Bearer {key_of(account)}'}
+        return self._session.get(self._base + path, headers=headers)
+
     async def until(self, status, path, account):
         while (  # noqa: ASYNC110
             await self.send(path, account)
@@ -183,14 +187,12 @@
     async with aiohttp.ClientSession() as session:
         caller = _Caller(session, mesh.members[0].ports.http)
         await caller.until(200, '/archive/1', 'studio')
-        large = asyncio.create_task(
-            caller.send('/archive/1?bytes=30000000', 'studio')
-        )
-        running = []
-        while not running:
-            await asyncio.sleep(0.01)
-            running = [one for one in mesh.members if one.upstream.running]
-        running[0].process.send_signal(signal.SIGTERM)
-        status, body = await large
-        assert (status, len(body)) == (200, 30_000_000)
-        assert await running[0].process.wait() == 0
+        async with caller.open('/archive/1?bytes=30000000', 'studio') as answer:
+            # Flow control holds the call in progress until it is read.
+            received = len(await answer.content.read(1))
+            (running,) = [one for one in mesh.members if one.upstream.running]
+            running.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(1)
+            received += len(await answer.content.read())
+        assert received == 30_000_000
+        assert await running.process.wait() == 0
