Measure daemons at rest over real processes

Cause: the footprint of one daemon whose peers do not run says little of rest. Change: bench.path prints the processor share at rest; gained keys are asked for every 10 s where there are no keyed calls.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
@@ -30,6 +30,8 @@
 # reports may fail before the 10 s of a confirmation have passed.
 REPORT_SECONDS = 3.0
 RECENT_USE_SECONDS = 30.0
+# Without keyed calls, gained keys can wait; a majority may be out of reach.
+PENDING_SECONDS = 10.0
 
 
 class Judgement(NamedTuple):
@@ -95,10 +97,10 @@
 
     def _is_due(self) -> bool:
         now = self._clock.monotonic()
-        if now - self._asked < REPORT_SECONDS:
-            return False
-        is_used = now - self._service.last_keyed_call < RECENT_USE_SECONDS
-        return is_used or self._ownership.is_pending
+        since = now - self._asked
+        if now - self._service.last_keyed_call < RECENT_USE_SECONDS:
+            return since >= REPORT_SECONDS
+        return self._ownership.is_pending and since >= PENDING_SECONDS
 
     async def _confirm(self) -> None:
         asked = Instant(self._clock.monotonic(), self._clock.wall())
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/footprint.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import json
-import os
 import tempfile
 import time
 from pathlib import Path
@@ -16,7 +15,7 @@
 
 import aiohttp
 
-from wagtailline_lab.bench.path import resident_kib
+from wagtailline_lab.bench.path import cpu_seconds, resident_kib
 from wagtailline_lab.deployments import Shape
 from wagtailline_lab.mesh import HOST, Mesh
 from wagtailline_lab.port_blocks import reserve_ports
@@ -34,7 +33,6 @@
 _SETTLE_SECONDS = 15.0
 _PERIOD_SECONDS = 10.0
 _PORTS = 16
-_TICKS = os.sysconf('SC_CLK_TCK')
 
 
 class Footprint(NamedTuple):
@@ -159,12 +157,6 @@
     return int(status['snapshot']['version'])
 
 
-def cpu_seconds(process: int) -> float:
-    """Return the user and system time of a process."""
-    fields = Path(f'/proc/{process}/stat').read_text().split()
-    return (int(fields[13]) + int(fields[14])) / _TICKS
-
-
 def main() -> None:
     """Measure every size and print the table."""
     print(' '.join(Footprint._fields))
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/path.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/path.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import os
 import statistics
 import tempfile
 import time
@@ -25,6 +26,9 @@
 _SETTLE_SECONDS = 12.0
 _MILLISECONDS = 1000
 _KIB = 1024
+_REST_SECONDS = 20.0
+_PERCENT = 100
+_TICKS = os.sysconf('SC_CLK_TCK')
 _FREE_RATE = 10_000
 _PATHS = ('direct', 'own gate', 'other gate')
 
@@ -53,6 +57,7 @@
     await mesh.start()
     await mesh.wait_ready()
     await asyncio.sleep(_SETTLE_SECONDS)
+    await _print_rest(mesh)
     async with aiohttp.ClientSession() as session:
         _print_convergence(await _converge(mesh, session))
         _print_latencies(await _load(mesh, session))
@@ -159,6 +164,27 @@
         print(f'{path}: {p50:.2f} {p99:.2f} {p999:.2f} {added}')
 
 
+async def _print_rest(mesh: Mesh) -> None:
+    """Print the processor share of the daemons without calls or changes."""
+    processes = [member.process.pid for member in mesh.members]
+    before = [cpu_seconds(process) for process in processes]
+    await asyncio.sleep(_REST_SECONDS)
+    spent = [
+        (cpu_seconds(process) - start) / _REST_SECONDS * _PERCENT
+        for process, start in zip(processes, before, strict=True)
+    ]
+    print(
+        f'at rest, % of a core a daemon: median '
+        f'{statistics.median(spent):.2f}, highest {max(spent):.2f}'
+    )
+
+
+def cpu_seconds(process: int) -> float:
+    """Return the user and system time of a process."""
+    fields = Path(f'/proc/{process}/stat').read_text().split()
+    return (int(fields[13]) + int(fields[14])) / _TICKS
+
+
 def _print_usage(mesh: Mesh) -> None:
     resident = [resident_kib(one.process.pid) / _KIB for one in mesh.members]
     print(
