Work out the capacity page from the raw tables

Cause: nobody could judge whether the design carries the target. Change: docs/CAPACITY.md is made from a template and the tables; a test compares them.

--- a/packages/wagtailline-lab/src/wagtailline_lab/capacity.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/capacity.py
@@ -33,6 +33,7 @@
 _FOOTPRINT_ROW = re.compile(r'^\d+\.\d\d \d')
 _MEMBERSHIP_ROW = re.compile(r'^ +\d+ +\d+\.\d')
 _TREE_ROW = re.compile(r'^tree +\d+ ')
+_REST_ROW = re.compile('^at rest, % of a core')
 _ALLOWANCE_ROW = re.compile(r'^\d+ in \d +even +homes ')
 
 
@@ -44,6 +45,7 @@
     """Read every table and extrapolate to the target."""
     figures: dict[str, float] = {}
     figures.update(_footprint(measurements / 'footprint.txt'))
+    figures.update(_path(measurements / 'path.txt'))
     figures.update(_membership(measurements / 'membership.txt'))
     figures.update(_distribution(measurements / 'distribution.txt'))
     figures.update(_allowance(measurements / 'allowance.txt'))
@@ -52,6 +54,9 @@
         + figures['distribution_bytes']
         + figures['allowance_bytes']
     )
+    figures['core_percent'] = (
+        figures['rest_percent'] + figures['change_percent']
+    )
     figures['source_calls'] = READERS * SOURCE_CALLS_PER_READER
     return {name: f'{one:.4g}' for name, one in figures.items()}
 
@@ -74,13 +79,17 @@
         'memory_per_thousand': memory.per_unit * 1000,
         'memory_target': memory.at(ENDPOINTS),
         'memory_breaks_at': _crossing(memory, MAX_MEMORY_MIB),
-        'rest_percent': resting,
+        'lonely_rest_percent': resting,
         'change_ms': change,
         'change_percent': changing,
-        'core_percent': resting + changing,
     }
 
 
+def _path(path: Path) -> dict[str, float]:
+    rows = read_rows(path, _matches(_REST_ROW))
+    return {'rest_percent': max(row[0] for row in rows)}
+
+
 def _membership(path: Path) -> dict[str, float]:
     def column(index: int) -> list[Point]:
         return read_column(path, _matches(_MEMBERSHIP_ROW), index)
