Count connections of another protocol version

Cause: such a connection was closed without a trace. Change: a counter in the links, a gauge, and a test that the peer's other connections go on. Conclusion: bad input at the peer port is closed and counted.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
@@ -4,6 +4,7 @@
 from wagtailline.distribution import Distribution, KeptOut
 from wagtailline.kernel import Kernel
 from wagtailline.membership import MembershipService
+from wagtailline.peers import PeerLinks
 from wagtailline.ports import Clock
 from wagtailline.snapshot import SnapshotStore
 from wagtailline_daemon._background import BackgroundTask
@@ -50,6 +51,7 @@
         self._gate = find('gate', Gate).unwrap()
         self._distribution = find('distribution', Distribution).unwrap()
         self._membership = find('membership', MembershipService).unwrap()
+        self._links = find('links', PeerLinks).unwrap()
         self._calls = find('call_metrics', CallMetrics).unwrap()
         self._task.start()
 
@@ -81,6 +83,7 @@
             'gate.in_progress': self._gate.in_progress,
             'gate.queued': self._gate.queued,
             'gate.load': self._gate.load,
+            'peers.hellos_refused': self._links.hellos_refused,
             'members.takes_part': self._membership.takes_part,
         }
         for name, level in gauges.items():
--- a/packages/wagtailline/src/wagtailline/peers.py
+++ b/packages/wagtailline/src/wagtailline/peers.py
@@ -68,7 +68,11 @@
 
 
 class PeerLinks:
-    """One control connection for each peer, with handlers by type."""
+    """One control connection for each peer, with handlers by type.
+
+    ``hellos_refused`` counts accepted connections of another protocol
+    version or purpose; each of them was closed.
+    """
 
     def __init__(
         self,
@@ -95,6 +99,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._listener: Listener | None = None
         self._numbers = count(1)
+        self.hellos_refused = 0
 
     async def start(self) -> None:
         """Accept connections at the member's address."""
@@ -175,6 +180,7 @@
         except TimeoutError:
             return
         if find_hello_fault(first, None, purposes) is not None:
+            self.hellos_refused += 1
             return
         peer = cast(Hello, first)
         if peer.purpose != PURPOSE_CONTROL:
--- a/packages/wagtailline/tests/test_peers.py
+++ b/packages/wagtailline/tests/test_peers.py
@@ -4,9 +4,11 @@
 from random import Random
 from typing import NamedTuple
 
+import pytest
 from result import Err, Ok
 
 from wagtailline.membership import Member, MemberTable
+from wagtailline.messages import PURPOSE_CONTROL, Hello
 from wagtailline.peers import (
     HelloRefused,
     LinkSettings,
@@ -15,7 +17,7 @@
     PeerUnknown,
     PeerUnreachable,
 )
-from wagtailline.ports import Address, LoopClock
+from wagtailline.ports import Address, ChannelClosed, LoopClock
 from wagtailline_lab.network import LinkQuality, MemoryNetwork
 from wagtailline_lab.virtual import run_virtual
 
@@ -134,3 +136,22 @@
             assert len(links[0].connected()) <= 3
 
     _run(scenario())
+
+
+def test_other_protocol_version_is_closed_and_counted():
+    """A peer of another version must not be understood by chance."""
+
+    async def scenario():
+        network, _, links = await _mesh(2)
+        channel = await network.transport(_member(0).address).dial(
+            _member(1).address
+        )
+        hello = Hello(99, 'vm0', 'e0', 'osl1', 0, PURPOSE_CONTROL)
+        await channel.send(hello)
+        with pytest.raises(ChannelClosed):
+            await channel.receive()
+        assert links[1].hellos_refused == 1
+        answered = await links[0].request('e1', Ask('still there'), Told, 1)
+        assert answered.is_ok()
+
+    _run(scenario())
