Watch a drain from the command line, add shell completion

Cause: an operator had to read the status of each daemon by hand to know when upstreams may be stopped.

--- a/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
@@ -108,6 +108,62 @@
         return EXIT_TIMEOUT
 
 
+class DrainCommand(Command):
+    """Watches gates that were taken out of service until they are empty."""
+
+    name = 'drain'
+    description = 'Watch gates until no request is in progress at any.'
+    arguments = [
+        argument('daemons', 'Operator addresses, HOST:PORT', multiple=True)
+    ]
+    options = [
+        option('timeout', 't', 'Seconds to wait', flag=False, default='60'),
+    ]
+    help = (
+        'Take a data centre out of service by its object first, then:\n'
+        '  wagtailctl drain 10.0.0.1:7003 10.0.0.2:7003'
+    )
+
+    def handle(self) -> int:
+        """Exit with 0 when all are empty, with 3 at the timeout."""
+        deadline = time.monotonic() + float(self.option('timeout'))
+        progress = self.progress_indicator()
+        progress.start('reading the gates')
+        while time.monotonic() < deadline:
+            gates = {one: _read_gate(one) for one in self.argument('daemons')}
+            busy = {one: gate for one, gate in gates.items() if _is_busy(gate)}
+            if not busy:
+                progress.finish('no request is in progress')
+                return EXIT_OK
+            progress.set_message(render_gates(busy))
+            progress.advance()
+            time.sleep(POLL_SECONDS)
+        progress.finish('requests are still in progress')
+        return EXIT_TIMEOUT
+
+
+def render_gates(gates: dict[str, dict[str, Any]]) -> str:
+    """Return the state of each gate on one line."""
+    return '; '.join(
+        f'{daemon} {gate.get("in_progress", "unknown")} in progress, '
+        f'limit {gate.get("limit", "unknown")}'
+        for daemon, gate in gates.items()
+    )
+
+
+def _read_gate(daemon: str) -> dict[str, Any]:
+    match read_daemon(daemon, '/v1/status', {}):
+        case Ok({'gate': dict(gate)}):
+            return gate
+        case _:
+            return {}
+
+
+def _is_busy(gate: dict[str, Any]) -> bool:
+    """A gate that does not answer may be busy."""
+    return bool(gate.get('in_progress', 1) or gate.get('queued', 1))
+
+
 def _show(command: Command, path: str, query: dict[str, str]) -> int:
     match read_daemon(command.argument('daemon'), path, query):
         case Ok(answer):
--- a/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
@@ -3,8 +3,10 @@
 import sys
 
 from cleo.application import Application
+from cleo.commands.completions_command import CompletionsCommand
 
 from wagtailline_ctl._daemon_commands import (
+    DrainCommand,
     ExplainCommand,
     FleetCommand,
     MembersCommand,
@@ -20,7 +22,9 @@
 _COMMANDS = (
     BuildCommand,
     CheckCommand,
+    CompletionsCommand,
     DiffCommand,
+    DrainCommand,
     ExplainCommand,
     FleetCommand,
     MembersCommand,
--- a/packages/wagtailline-lab/src/wagtailline_lab/allowance_baselines.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/allowance_baselines.py
@@ -1,6 +1,7 @@
 """Baselines of the allowance: equal shares, and a coordinator by liveness."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from random import Random
 from typing import NamedTuple
 
@@ -44,7 +45,7 @@
         return 0
 
 
-class _Baseline:
+class _Baseline(ABC):
     def __init__(
         self,
         identity: Identity,
@@ -64,9 +65,11 @@
 
     async def start(self) -> None:
         """Begin with full buckets."""
+        self._buckets.clear()
 
     async def stop(self) -> None:
-        """End."""
+        """Forget the buckets."""
+        self._buckets.clear()
 
     async def acquire(
         self, limit_name: str, timeout_seconds: float
@@ -83,9 +86,9 @@
             wait = await self.ask(limit_name)
         return Ok(None)
 
+    @abstractmethod
     async def ask(self, limit_name: str) -> float:
         """Return zero for a token, or the seconds until there is one."""
-        raise NotImplementedError
 
     def take(self, name: str, parts: int) -> float:
         """Take a token of one of the equal parts of a limit."""
--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -76,11 +76,11 @@
         assert json.loads(body)['executed'] == 'no'
         _withdraw_key(mesh, 'studio')
         mesh.set['routes'].append(
-            {'name': 'letters', 'prefix': '/letters', 'service': 'desk'}
+            {'name': 'samples', 'prefix': '/samples', 'service': 'desk'}
         )
         mesh.publish()
         await caller.until(401, '/desk/1', 'studio')
-        await caller.until(200, '/letters/1', 'courier')
+        await caller.until(200, '/samples/1', 'courier')
         seen = set().union(
             *(member.upstream.seen_headers for member in mesh.members)
         )
