Test that a drained data centre gets no new work over real processes

Cause: the drain was tested at the gate and the verification, not over the whole path. Change: one test.

--- a/packages/wagtailline-lab/tests/test_whole_path.py
+++ b/packages/wagtailline-lab/tests/test_whole_path.py
@@ -196,3 +196,29 @@
             received += len(await answer.content.read())
         assert received == 30_000_000
         assert await running.process.wait() == 0
+
+
+async def test_drained_data_centre_gets_no_new_work(mesh):
+    """After the drain is in force, every call goes to the other centre."""
+    async with aiohttp.ClientSession() as session:
+        caller = _Caller(session, mesh.members[0].ports.http)
+        await caller.until(200, '/desk/1', 'studio')
+        mesh.set['data_centres'][0]['in_service'] = False
+        version = mesh.publish()
+        for member in mesh.members:
+            await _until_version(session, member, version)
+        drained = [one for one in mesh.members if 'north1' in one.endpoint]
+        before = [one.upstream.executions.total() for one in drained]
+        for _ in range(10):
+            await caller.until(200, '/desk/1', 'studio')
+        assert [one.upstream.executions.total() for one in drained] == before
+
+
+async def _until_version(session, member, version):
+    url = f'http://{HOST}:{member.ports.operator}/v1/status'
+    while True:
+        async with session.get(url) as answer:
+            status = await answer.json()
+        if status['snapshot']['version'] >= version:
+            return
+        await asyncio.sleep(0.05)
