--- a/packages/wagtailline/tests/test_verification.py
+++ b/packages/wagtailline/tests/test_verification.py
@@ -94,7 +94,11 @@
         ),
         (_without('desk-0'), 'wrong_endpoint'),
         (
-            (*_without('studio-1'), Key('studio-1', 'other', _KEY)),
+            (
+                *_without('studio-1'),
+                ClientAccount('other', 'small'),
+                Key('studio-1', 'other', _KEY),
+            ),
             'key_unknown',
         ),
     ],
