Test the record around a keyed call of the daemon

Cause: with mark_sent or mark_not_begun taken out of the daemon's wiring, no test of the daemon failed. Change: a test of an unknown, a refused and a cancelled call and its resend.

--- /dev/null
+++ b/packages/wagtailline-daemon/tests/test_keyed_calls.py
@@ -0,0 +1,58 @@
+"""Guards the record of executions around a call of the daemon."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from wagtailline.admission import Ticket
+from wagtailline.calls import CallRequest, Refusal, WholeBody
+from wagtailline.executions import ExecutionRecords, Instant, Ownership
+from wagtailline_daemon._keyed_calls import KeyedCalls
+from wagtailline_daemon._request_content import RequestContent
+
+_NOW = Instant(10_000, 10_000)
+_KEY = '00000098-9680-7000-8000-000000000000'
+_REQUEST = CallRequest(
+    1, 'a', 'pay', 'studio', '', 'POST', '/', (), 100, idempotency_key=_KEY
+)
+_CONTENT = RequestContent(WholeBody(b''), b'digest')
+_TICKET = Ticket('studio', 1, 20_000, b'')
+
+
+@pytest.mark.parametrize(
+    ('first', 'resent', 'runs'),
+    [
+        (Refusal('upstream_reset', 'unknown'), 'outcome_unknown', 1),
+        (Refusal('queue_full', 'no'), 'queue_full', 2),
+        (None, 'outcome_unknown', 1),
+    ],
+)
+def test_only_a_call_that_did_not_run_runs_again(first, resent, runs):
+    """A call whose outcome is unknown, or that was cancelled, never reruns."""
+    seen = []
+
+    async def run(request, content, ticket):
+        seen.append(request)
+        if first is None:
+            raise asyncio.CancelledError
+        return Err(first)
+
+    async def scenario():
+        ownership = Ownership('a')
+        ownership.update(('a',), Instant(0, 0))
+        records = ExecutionRecords(ownership)
+        records.confirm(_NOW)
+        keyed = KeyedCalls(records, run)
+        outcomes = []
+        for _ in range(2):
+            try:
+                outcomes.append(
+                    await keyed.run(_REQUEST, _CONTENT, _TICKET, lambda: _NOW)
+                )
+            except asyncio.CancelledError:
+                outcomes.append(None)
+        return outcomes[1]
+
+    assert asyncio.run(scenario()).unwrap_err().reason == resent
+    assert len(seen) == runs
