--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon for platforms whose endpoints register themselves."""
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -0,0 +1,117 @@
+"""Decides whether and as whom a request may run."""
+
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailline.calls import Headers, Refusal
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import find_header
+from wagtailline_sidecar.model import ClientAccount, Picture, Route
+from wagtailline_sidecar.picture import PictureKeeper
+from wagtailline_sidecar.quotas import Quotas
+from wagtailline_sidecar.server_connection import IncomingRequest
+
+# Unknown names are denied for good only while the picture is this young.
+FRESH_SECONDS = 3.0
+_BEARER = b'bearer'
+_MILLISECONDS = 1000
+
+
+class Admitted(NamedTuple):
+    """A request that may run; ``deadline`` is monotonic time."""
+
+    picture: Picture
+    route: Route
+    account: ClientAccount | None
+    identity: str
+    priority: int
+    deadline: float
+
+
+class Admission:
+    """Checks route, key, age of the picture and quota, in this order."""
+
+    def __init__(
+        self,
+        keeper: PictureKeeper,
+        quotas: Quotas,
+        names: HeaderNames,
+        key_proof_seconds: float,
+    ) -> None:
+        """Refuse keys when the picture is older than the proof allows."""
+        self._keeper = keeper
+        self._quotas = quotas
+        self._names = names
+        self._key_proof_seconds = key_proof_seconds
+
+    def admit(self, request: IncomingRequest) -> Result[Admitted, Refusal]:
+        """Return what the request may do, or why it may not run."""
+        picture, table = self._keeper.current, self._keeper.table
+        if picture is None or table is None:
+            return Err(Refusal('no_picture', 'no'))
+        host = find_header(request.headers, b'host') or b''
+        route = table.find_route(host.decode('latin-1'), request.target)
+        if route is None:
+            return Err(self._deny('route_missing'))
+        account = None
+        if table.has_accounts and not route.is_public:
+            match self._identify(request.headers):
+                case Ok(account):
+                    pass
+                case Err(refusal):
+                    return Err(refusal)
+        return self._admit(request, picture, route, account)
+
+    def _admit(
+        self,
+        request: IncomingRequest,
+        picture: Picture,
+        route: Route,
+        account: ClientAccount | None,
+    ) -> Result[Admitted, Refusal]:
+        if account is not None:
+            wait = self._quotas.take(account)
+            if wait > 0:
+                wait_ms = int(wait * _MILLISECONDS)
+                return Err(
+                    Refusal('quota_exhausted', 'no', wait_ms, account.name)
+                )
+        names = self._names
+        seconds = route.timeout_seconds
+        asked = find_header(request.headers, names.deadline_ms)
+        if asked is not None and asked.isdigit():
+            seconds = min(seconds, int(asked) / _MILLISECONDS)
+        identity = find_header(request.headers, names.request_id) or b''
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        return Ok(
+            Admitted(
+                picture,
+                route,
+                account,
+                identity.decode('latin-1'),
+                priority,
+                request.arrived_at + seconds,
+            )
+        )
+
+    def _identify(self, headers: Headers) -> Result[ClientAccount, Refusal]:
+        table = self._keeper.table
+        field = find_header(headers, self._names.authorization) or b''
+        scheme, _, key = field.partition(b' ')
+        if scheme.lower() != _BEARER or not key.strip():
+            return Err(Refusal('key_missing', 'no'))
+        if self._keeper.age_seconds > self._key_proof_seconds:
+            return Err(Refusal('picture_stale', 'no'))
+        account = table and table.find_account(key.strip().decode('latin-1'))
+        if account is None:
+            return Err(self._deny('key_unknown'))
+        return Ok(account)
+
+    def _deny(self, reason: str) -> Refusal:
+        """Deny for good only what a current picture does not hold."""
+        if self._keeper.age_seconds > FRESH_SECONDS:
+            return Refusal('picture_stale', 'no')
+        return Refusal(reason, 'no')
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/checks.py
@@ -0,0 +1,64 @@
+"""Checks of a whole configuration before any part of it is applied."""
+
+from typing import NamedTuple
+
+from wagtailline_sidecar.model import Configuration, Route
+
+
+class ConfigurationFault(NamedTuple):
+    """Why a configuration is not applied."""
+
+    subject: str
+    problem: str
+
+
+def check_configuration(
+    configuration: Configuration,
+) -> tuple[ConfigurationFault, ...]:
+    """Return every fault of a configuration."""
+    faults: list[ConfigurationFault] = []
+    places: set[tuple[str, str]] = set()
+    for route in configuration.routes:
+        faults.extend(_check_route(route, configuration))
+        place = (route.host, route.prefix)
+        if place in places:
+            faults.append(_fault(route, 'host and prefix are taken'))
+        places.add(place)
+    faults.extend(_check_accounts(configuration))
+    return tuple(faults)
+
+
+def _check_route(
+    route: Route, configuration: Configuration
+) -> list[ConfigurationFault]:
+    faults = [
+        _fault(route, f'unknown service {share.service}')
+        for share in route.shares
+        if share.service not in configuration.services
+    ]
+    weights = [share.weight for share in route.shares]
+    if not weights or min(weights) < 0 or sum(weights) <= 0:
+        faults.append(_fault(route, 'weights do not add up'))
+    if route.timeout_seconds <= 0 or route.max_attempts < 1:
+        faults.append(_fault(route, 'timeout or attempts below the least'))
+    if not (route.prefix.startswith('/') and route.prefix.endswith('/')):
+        faults.append(_fault(route, 'prefix without its slashes'))
+    return faults
+
+
+def _check_accounts(configuration: Configuration) -> list[ConfigurationFault]:
+    faults = []
+    owners: dict[str, str] = {}
+    for account in configuration.accounts.values():
+        if account.rate < 0 or account.burst < 0:
+            faults.append(ConfigurationFault(account.name, 'negative limit'))
+        for key in account.keys:
+            if owners.setdefault(key, account.name) != account.name:
+                faults.append(
+                    ConfigurationFault(account.name, 'key of two accounts')
+                )
+    return faults
+
+
+def _fault(route: Route, problem: str) -> ConfigurationFault:
+    return ConfigurationFault(route.name, problem)
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
@@ -0,0 +1,186 @@
+"""Holds the picture in force and how current it is."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from wagtailline_sidecar.checks import ConfigurationFault, check_configuration
+from wagtailline_sidecar.model import Configuration, Endpoint, Picture
+from wagtailline_sidecar.routing import RouteTable
+
+# Endpoints register again within about 2 s of the source's return.
+REGISTRATION_GRACE_SECONDS = 2.5
+# A longer gap between readings counts as an outage of the source.
+OUTAGE_SECONDS = 3.0
+
+
+class TimeSource(Protocol):
+    """Time since boot in seconds."""
+
+    def boot(self) -> float:
+        """Return the time since boot, suspension included."""
+
+
+class Reading(NamedTuple):
+    """One consistent reading of the source.
+
+    ``configuration`` is None when the source holds none that can be read.
+    """
+
+    revision: int
+    configuration: Configuration | None
+    endpoints: tuple[Endpoint, ...]
+    closed_data_centres: frozenset[str]
+
+
+class PictureInstalled(NamedTuple):
+    """Event: a new version or another set of endpoints is in force."""
+
+    version: int
+    revision: int
+    endpoints: int
+    closed: str
+
+
+class ConfigurationRefused(NamedTuple):
+    """Event: a published configuration is not applied."""
+
+    version: int
+    in_force: int
+    problem: str
+
+
+class PictureKeeper:
+    """The picture in force; versions and revisions never go back."""
+
+    def __init__(
+        self, clock: TimeSource, observe: Callable[[NamedTuple], None]
+    ) -> None:
+        """Hold no picture before the first reading."""
+        self._clock = clock
+        self._observe = observe
+        self._picture: Picture | None = None
+        self._table: RouteTable | None = None
+        self._confirmed_at = float('-inf')
+        self._outage_ended_at = float('-inf')
+        self._listeners: list[Callable[[Picture], None]] = []
+        self._refused_version = 0
+
+    @property
+    def current(self) -> Picture | None:
+        """Return the picture in force."""
+        return self._picture
+
+    @property
+    def table(self) -> RouteTable | None:
+        """Return the routes of the picture in force."""
+        return self._table
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return the time since boot at which the picture was current."""
+        return self._confirmed_at
+
+    @property
+    def age_seconds(self) -> float:
+        """Return the time since the picture was known to be current."""
+        return self._clock.boot() - self._confirmed_at
+
+    def subscribe(self, listener: Callable[[Picture], None]) -> None:
+        """Call the listener with every new picture."""
+        self._listeners.append(listener)
+
+    def apply(self, reading: Reading, asked_at: float) -> None:
+        """Take a reading that was asked for at a time since boot."""
+        former = self._picture
+        if former is not None and reading.revision < former.revision:
+            return
+        if asked_at - self._confirmed_at > OUTAGE_SECONDS:
+            self._outage_ended_at = self._clock.boot()
+        configuration = self._accept(reading.configuration)
+        if configuration is None:
+            return
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+        picture = Picture(
+            reading.revision,
+            configuration,
+            self._merge(reading.endpoints),
+            reading.closed_data_centres,
+        )
+        self._install(picture)
+
+    def _install(self, picture: Picture) -> None:
+        former, self._picture = self._picture, picture
+        configuration = picture.configuration
+        if self._table is None or (
+            self._table.configuration is not configuration
+        ):
+            self._table = RouteTable(configuration)
+        if former is None or _differ(former, picture):
+            self._observe(
+                PictureInstalled(
+                    configuration.version,
+                    picture.revision,
+                    len(picture.endpoints),
+                    ','.join(sorted(picture.closed_data_centres)),
+                )
+            )
+        for listener in self._listeners:
+            listener(picture)
+
+    def _accept(self, offered: Configuration | None) -> Configuration | None:
+        former = self._picture.configuration if self._picture else None
+        if offered is None or offered is former:
+            return former
+        faults = check_configuration(offered)
+        is_older = former is not None and offered.version <= former.version
+        if not faults and not is_older:
+            return offered
+        if is_older and former is not None:
+            if offered.version == former.version:
+                return former
+            faults = (ConfigurationFault('version', 'older than in force'),)
+        self._refuse(offered, former, faults)
+        return former
+
+    def _refuse(
+        self,
+        offered: Configuration,
+        former: Configuration | None,
+        faults: tuple[ConfigurationFault, ...],
+    ) -> None:
+        if offered.version == self._refused_version:
+            return
+        self._refused_version = offered.version
+        in_force = former.version if former else 0
+        problem = '; '.join(f'{one.subject}: {one.problem}' for one in faults)
+        self._observe(
+            ConfigurationRefused(offered.version, in_force, problem)
+        )
+
+    def _merge(self, listed: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
+        """Keep entries that lapsed in an outage until they may be back."""
+        former = self._picture.endpoints if self._picture else ()
+        now = self._clock.boot()
+        if now - self._outage_ended_at > REGISTRATION_GRACE_SECONDS:
+            return listed
+        present = {endpoint.identity for endpoint in listed}
+        places = {endpoint.address for endpoint in listed}
+        kept = [
+            endpoint
+            for endpoint in former
+            if endpoint.identity not in present
+            and endpoint.address not in places
+        ]
+        return (*listed, *kept)
+
+
+def _differ(former: Picture, picture: Picture) -> bool:
+    return (
+        former.configuration is not picture.configuration
+        or former.closed_data_centres != picture.closed_data_centres
+        or _states(former) != _states(picture)
+    )
+
+
+def _states(picture: Picture) -> set[tuple[str, bool]]:
+    return {(one.identity, one.is_ready) for one in picture.endpoints}
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -0,0 +1,188 @@
+"""Chooses the endpoint that is expected to answer a request first."""
+
+from collections.abc import Set
+from random import Random
+from typing import NamedTuple, Protocol
+
+from wagtailline_sidecar.model import Endpoint, Picture, Route
+
+# A refused connection keeps an endpoint out of the choice for this time,
+# doubled at each further failure up to the limit.
+HOLD_OFF_SECONDS = 0.25
+MAX_HOLD_OFF_SECONDS = 2.0
+# Reported waits lose their weight with this half-life.
+REPORT_HALF_LIFE_SECONDS = 0.5
+# Part of an estimate that one more observation replaces.
+_SMOOTHING = 0.15
+_FIRST_SECONDS = 0.15
+_FIRST_ANSWER_KILOBYTES = 2.0
+# The relative spread that keeps daemons with equal views apart.
+_NOISE = 0.1
+_LEAST_SUCCESS = 0.05
+
+
+class Clock(Protocol):
+    """Monotonic time in seconds."""
+
+    def monotonic(self) -> float:
+        """Return the time of the running loop."""
+
+
+class Distance(NamedTuple):
+    """What it costs to leave the data centre, in seconds of waiting.
+
+    ``seconds_per_kilobyte`` is the wait that operators accept to save one
+    kilobyte between data centres.
+    """
+
+    seconds: float = 0.03
+    seconds_per_kilobyte: float = 0.04
+
+
+class _EndpointView:
+    """What this daemon has learned of one endpoint."""
+
+    def __init__(self) -> None:
+        self.outstanding = 0
+        self.speed = 1.0
+        self.success = 1.0
+        self.reported_wait = float(0)
+        self.reported_at = float('-inf')
+        self.failures = 0
+        self.out_until = float('-inf')
+
+
+class Selector:
+    """Orders the endpoints of a service by the expected time of an answer."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        data_centre: str,
+        distance: Distance,
+    ) -> None:
+        """Know nothing of any endpoint."""
+        self._clock = clock
+        self._random = random
+        self._data_centre = data_centre
+        self._distance = distance
+        self._views: dict[str, _EndpointView] = {}
+        self._route_seconds: dict[str, float] = {}
+        self._route_kilobytes: dict[str, float] = {}
+
+    def keep(self, picture: Picture) -> None:
+        """Drop what was learned of endpoints that are gone."""
+        listed = {endpoint.identity for endpoint in picture.endpoints}
+        for identity in self._views.keys() - listed:
+            self._views.pop(identity)
+
+    def choose(
+        self,
+        picture: Picture,
+        route: Route,
+        service: str,
+        tried: Set[str],
+    ) -> Endpoint | None:
+        """Return the best endpoint that was not tried yet."""
+        now = self._clock.monotonic()
+        usable = [
+            endpoint
+            for endpoint in picture.endpoints
+            if endpoint.service == service
+            and endpoint.is_ready
+            and endpoint.data_centre not in picture.closed_data_centres
+            and endpoint.identity not in tried
+        ]
+        in_touch = [
+            one for one in usable if self._view(one).out_until <= now
+        ]
+        # When every endpoint is held off, the one that comes back first is
+        # better than none.
+        candidates = in_touch or sorted(
+            usable, key=lambda one: self._view(one).out_until
+        )[:1]
+        if not candidates:
+            return None
+        return min(
+            candidates, key=lambda one: self._expect(one, route, now)
+        )
+
+    def note_sent(self, endpoint: Endpoint) -> None:
+        """Count a request on its way to an endpoint."""
+        self._view(endpoint).outstanding += 1
+
+    def note_ended(self, endpoint: Endpoint) -> None:
+        """Count a request that has ended in any way."""
+        view = self._view(endpoint)
+        view.outstanding = max(view.outstanding - 1, 0)
+
+    def note_answer(
+        self,
+        endpoint: Endpoint,
+        route: Route,
+        took_seconds: float,
+        wait_seconds: float,
+        is_success: bool,
+    ) -> None:
+        """Learn from an answer and the wait that its gate reports."""
+        view = self._view(endpoint)
+        view.failures = 0
+        view.out_until = float('-inf')
+        view.reported_wait = wait_seconds
+        view.reported_at = self._clock.monotonic()
+        view.success += _SMOOTHING * (float(is_success) - view.success)
+        if not is_success:
+            return
+        usual = self._route_seconds.get(route.name, took_seconds)
+        ratio = took_seconds / max(usual, 0.001)
+        view.speed += _SMOOTHING * (min(ratio, 10) - view.speed)
+        self._route_seconds[route.name] = usual + _SMOOTHING * (
+            took_seconds - usual
+        )
+
+    def note_size(self, route: Route, sent_bytes: int) -> None:
+        """Learn how many bytes an answer of a route has."""
+        kilobytes = sent_bytes / 1000
+        former = self._route_kilobytes.get(route.name, kilobytes)
+        self._route_kilobytes[route.name] = former + _SMOOTHING * (
+            kilobytes - former
+        )
+
+    def note_wait(self, endpoint: Endpoint, wait_seconds: float) -> None:
+        """Learn the wait at a gate that refused a request."""
+        view = self._view(endpoint)
+        view.reported_wait = wait_seconds
+        view.reported_at = self._clock.monotonic()
+
+    def note_failure(self, endpoint: Endpoint) -> None:
+        """Hold off from an endpoint that could not be reached."""
+        view = self._view(endpoint)
+        doubled = HOLD_OFF_SECONDS * 2**view.failures
+        view.failures = min(view.failures + 1, 8)
+        view.out_until = self._clock.monotonic() + min(
+            doubled, MAX_HOLD_OFF_SECONDS
+        )
+
+    def _expect(self, endpoint: Endpoint, route: Route, now: float) -> float:
+        view = self._view(endpoint)
+        service = self._route_seconds.get(route.name, _FIRST_SECONDS)
+        service *= view.speed
+        age = now - view.reported_at
+        wait = view.reported_wait * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        wait += service * view.outstanding / max(endpoint.slots, 1)
+        expected = (wait + service) / max(view.success, _LEAST_SUCCESS)
+        expected *= 1 + _NOISE * self._random.random()
+        if endpoint.data_centre != self._data_centre:
+            kilobytes = self._route_kilobytes.get(
+                route.name, _FIRST_ANSWER_KILOBYTES
+            )
+            expected += self._distance.seconds
+            expected += kilobytes * self._distance.seconds_per_kilobyte
+        return expected
+
+    def _view(self, endpoint: Endpoint) -> _EndpointView:
+        view = self._views.get(endpoint.identity)
+        if view is None:
+            view = self._views[endpoint.identity] = _EndpointView()
+        return view
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/status_pages.py
@@ -0,0 +1,33 @@
+"""Answers of the daemon about itself: readiness and metrics."""
+
+from collections.abc import Callable
+
+from wagtailline_sidecar._exchange import Exchange
+from wagtailline_sidecar.server_connection import Handler, IncomingRequest
+
+_OK = 200
+_NOT_FOUND = 404
+_UNAVAILABLE = 503
+_TEXT = ((b'content-type', b'text/plain; version=0.0.4'),)
+
+
+def answer_readiness(is_ready: Callable[[], bool]) -> Handler:
+    """Return a handler that tells whether the daemon takes requests."""
+
+    async def answer(request: IncomingRequest, exchange: Exchange) -> None:
+        status = _OK if is_ready() else _UNAVAILABLE
+        await exchange.respond(status, (), b'')
+
+    return answer
+
+
+def answer_metrics(render: Callable[[], bytes]) -> Handler:
+    """Return a handler that gives the metrics at ``/metrics``."""
+
+    async def answer(request: IncomingRequest, exchange: Exchange) -> None:
+        if request.target == '/metrics':
+            await exchange.respond(_OK, _TEXT, render())
+        else:
+            await exchange.respond(_NOT_FOUND, (), b'')
+
+    return answer
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -0,0 +1,85 @@
+"""Counters and latency histograms, as text for a scraper."""
+
+from typing import NamedTuple
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from wagtailline_daemon.events import EventLog, event_name
+from wagtailline_sidecar.gate_service import GateCallEnded
+from wagtailline_sidecar.ingress import RequestEnded
+
+_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
+_MILLISECONDS = 1000
+
+
+class Telemetry:
+    """Observer of events: writes the log line and counts."""
+
+    def __init__(self, events: EventLog) -> None:
+        """Count in a registry of its own."""
+        self._events = events
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            'wagtailline_requests_total',
+            'Requests that ended, by status and reason',
+            ['status', 'reason'],
+            registry=self._registry,
+        )
+        self._request_seconds = Histogram(
+            'wagtailline_request_seconds',
+            'Time from a whole head to the end of the decision',
+            ['route'],
+            buckets=_SECONDS,
+            registry=self._registry,
+        )
+        self._calls = Counter(
+            'wagtailline_gate_calls_total',
+            'Calls that ended at the gate, by outcome',
+            ['outcome'],
+            registry=self._registry,
+        )
+        self._wait_seconds = Histogram(
+            'wagtailline_gate_wait_seconds',
+            'Time that calls waited for a slot',
+            buckets=_SECONDS,
+            registry=self._registry,
+        )
+        self._events_total = Counter(
+            'wagtailline_events_total',
+            'Other events, by name',
+            ['event'],
+            registry=self._registry,
+        )
+        self._levels = Gauge(
+            'wagtailline_gate_occupancy',
+            'Calls in progress and queued at the gate',
+            ['state'],
+            registry=self._registry,
+        )
+
+    def observe(self, event: NamedTuple) -> None:
+        """Write the event to the log and count it."""
+        self._events.info(event)
+        match event:
+            case RequestEnded():
+                self._requests.labels(event.status, event.reason).inc()
+                self._request_seconds.labels(event.route).observe(
+                    event.took_ms / _MILLISECONDS
+                )
+            case GateCallEnded():
+                self._calls.labels(event.outcome).inc()
+                self._wait_seconds.observe(event.waited_ms / _MILLISECONDS)
+                self._levels.labels('in_progress').set(event.in_progress)
+                self._levels.labels('queued').set(event.queued)
+            case _:
+                self._events_total.labels(event_name(event)).inc()
+
+    def render(self) -> bytes:
+        """Return every metric in the text format."""
+        return generate_latest(self._registry)
--- a/packages/wagtailline/src/wagtailline/calls/_types.py
+++ b/packages/wagtailline/src/wagtailline/calls/_types.py
@@ -15,6 +15,9 @@
 
     ``sender`` is its endpoint, ``version`` the version that it decided on,
     ``timeout_ms`` the time left, ``depth`` the number of calls above it.
+    ``instance`` names the incarnation of the upstream that has to run it, a
+    lower ``priority`` is more urgent, ``identity`` tells requests apart in
+    logs, ``is_repeatable`` tells whether it may run again.
     """
 
     version: int
@@ -30,6 +33,10 @@
     trace: str = ''
     idempotency_key: str = ''
     sender: str = ''
+    instance: str = ''
+    priority: int = 0
+    identity: str = ''
+    is_repeatable: bool = False
 
 
 class Refusal(NamedTuple):
--- a/packages/wagtailline/src/wagtailline/routing/_budget.py
+++ b/packages/wagtailline/src/wagtailline/routing/_budget.py
@@ -13,13 +13,20 @@
 class RetryBudget:
     """Allows retries up to a part of the recent calls of one service.
 
-    In any window of 10 s it allows 10% of the calls in the window plus one
-    retry a second.
+    In any window of 10 s it allows a part of the calls in the window plus a
+    constant rate of retries.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        ratio: float = RETRY_RATIO,
+        retries_per_second: float = RETRIES_PER_SECOND,
+    ) -> None:
         """Begin without calls."""
         self._clock = clock
+        self._ratio = ratio
+        self._constant = retries_per_second * WINDOW_SECONDS
         # Second, calls and retries in it, from the oldest second on.
         self._seconds: deque[list[int]] = deque()
         self._calls = 0
@@ -33,8 +40,7 @@
     def take(self) -> bool:
         """Take one retry; return False when the budget is used up."""
         current = self._current()
-        allowed = self._calls * RETRY_RATIO
-        allowed += RETRIES_PER_SECOND * WINDOW_SECONDS
+        allowed = self._calls * self._ratio + self._constant
         if self._retries + 1 > allowed:
             return False
         current[2] += 1
--- a/packages/wagtailline/src/wagtailline/streams.py
+++ b/packages/wagtailline/src/wagtailline/streams.py
@@ -1,6 +1,7 @@
 """TCP transport: length-prefixed msgpack frames."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -21,6 +22,9 @@
 # Limit for connections that carry only calls.
 MAX_CALL_FRAME_BYTES = 256 * 1024
 DIAL_TIMEOUT_SECONDS = 1.0
+# Unacknowledged bytes end a connection after this time. A peer whose VM is
+# gone, or that a partition hides, sends no reset.
+UNACKNOWLEDGED_MS = 700
 # Above this many unsent bytes a sender waits for the peer to read.
 WRITE_HIGH_WATER_BYTES = 256 * 1024
 # Above this many bytes that nobody has received, the peer must wait.
@@ -60,6 +64,9 @@
         """Take over an open connection."""
         self._transport = cast(asyncio.Transport, transport)
         self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        endpoint = transport.get_extra_info('socket')
+        if endpoint is not None:
+            limit_silence(endpoint)
         if self.on_open is not None:
             self.on_open(self)
 
@@ -185,11 +192,13 @@
         codec: Codec,
         observe_fault: FaultObserver = _ignore_fault,
         max_frame_bytes: int = MAX_FRAME_BYTES,
+        dial_timeout_seconds: float = DIAL_TIMEOUT_SECONDS,
     ) -> None:
         """Use one codec for all channels.
 
         A peer that announces a longer frame is disconnected.
         """
+        self._dial_timeout_seconds = dial_timeout_seconds
         self._max_frame_bytes = max_frame_bytes
         self._codec = codec
         self._observe_fault = observe_fault
@@ -199,7 +208,7 @@
         """Open a channel; raise DialFailed when there is no peer."""
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(DIAL_TIMEOUT_SECONDS):
+            async with asyncio.timeout(self._dial_timeout_seconds):
                 _, channel = await loop.create_connection(
                     self._make_channel, address.host, address.port
                 )
@@ -242,6 +251,13 @@
         channel.close()
 
 
+def limit_silence(endpoint: socket.socket) -> None:
+    """End a connection whose peer no longer acknowledges bytes."""
+    endpoint.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
+    )
+
+
 def _wake(waiter: 'asyncio.Future[None] | None') -> None:
     if waiter is not None and not waiter.done():
         waiter.set_result(None)
