Share quotas by reported demand, and lend the rest at the accounts' homes

Change: 40% of a limit is held by the daemons in proportion to the demand that they report by datagram, 60% is at one home per account, found by rendezvous hashing over the registered hosts, and borrowed request by request.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -45,7 +45,9 @@
         self._names = names
         self._key_proof_seconds = key_proof_seconds
 
-    def admit(self, request: IncomingRequest) -> Result[Admitted, Refusal]:
+    async def admit(
+        self, request: IncomingRequest
+    ) -> Result[Admitted, Refusal]:
         """Return what the request may do, or why it may not run."""
         picture, table = self._keeper.current, self._keeper.table
         if picture is None or table is None:
@@ -61,9 +63,9 @@
                     pass
                 case Err(refusal):
                     return Err(refusal)
-        return self._admit(request, picture, route, account)
+        return await self._admit(request, picture, route, account)
 
-    def _admit(
+    async def _admit(
         self,
         request: IncomingRequest,
         picture: Picture,
@@ -71,12 +73,11 @@
         account: ClientAccount | None,
     ) -> Result[Admitted, Refusal]:
         if account is not None:
-            wait = self._quotas.take(account)
+            wait = await self._quotas.take(account)
             if wait > 0:
                 wait_ms = int(wait * _MILLISECONDS)
-                return Err(
-                    Refusal('quota_exhausted', 'no', wait_ms, account.name)
-                )
+                inputs = f'{account.name}:{self._quotas.describe(account)}'
+                return Err(Refusal('quota_exhausted', 'no', wait_ms, inputs))
         names = self._names
         seconds = route.timeout_seconds
         asked = find_header(request.headers, names.deadline_ms)
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/borrowing.py
@@ -0,0 +1,66 @@
+"""Borrows tokens from the homes of accounts, and lends at this daemon."""
+
+import asyncio
+import itertools
+
+from wagtailline.codec import Message
+from wagtailline_sidecar.model import ClientAccount
+from wagtailline_sidecar.notices import LoanReply, LoanRequest, Notices
+from wagtailline_sidecar.quotas import Homes, Loan
+
+# A lost datagram is sent again once, then the request does without.
+REPLY_TIMEOUT_SECONDS = 0.04
+_TRIES = 2
+# A home that did not answer is not asked again for this time.
+SILENCE_SECONDS = 0.5
+
+
+class Borrowing:
+    """Sends loan requests to homes and answers those to this daemon."""
+
+    def __init__(self, notices: Notices, homes: Homes) -> None:
+        """Receive requests and replies through the notices."""
+        self._notices = notices
+        self._homes = homes
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[Loan]] = {}
+        self._silent_until: dict[str, float] = {}
+        notices.subscribe(self._receive)
+
+    async def borrow(
+        self, host: str, account: ClientAccount, tokens: int
+    ) -> Loan | None:
+        """Ask a home for tokens; None when it does not answer."""
+        if host == self._notices.host:
+            return self._homes.lend(account.name, tokens)
+        loop = asyncio.get_running_loop()
+        if loop.time() < self._silent_until.get(host, 0):
+            return None
+        number = next(self._numbers)
+        request = LoanRequest(
+            self._notices.host, number, account.name, tokens
+        )
+        for _ in range(_TRIES):
+            self._pending[number] = loop.create_future()
+            self._notices.send(request, (host,))
+            try:
+                async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
+                    return await self._pending[number]
+            except TimeoutError:
+                # A second copy of the request may be lent twice; the first
+                # loan is lost then and only lowers what the account gets.
+                continue
+            finally:
+                self._pending.pop(number, None)
+        self._silent_until[host] = loop.time() + SILENCE_SECONDS
+        return None
+
+    def _receive(self, notice: Message) -> None:
+        match notice:
+            case LoanRequest(host, number, account, tokens):
+                loan = self._homes.lend(account, tokens)
+                self._notices.send(LoanReply(number, *loan), (host,))
+            case LoanReply(number, tokens, wait_seconds):
+                pending = self._pending.get(number)
+                if pending is not None and not pending.done():
+                    pending.set_result(Loan(tokens, wait_seconds))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -12,6 +12,7 @@
 from wagtailline.ports import Address
 from wagtailline_daemon.events import open_event_log
 from wagtailline_sidecar.admission import Admission
+from wagtailline_sidecar.borrowing import Borrowing
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.daemon_events import (
     DaemonStarted,
@@ -20,6 +21,8 @@
     FrameRejected,
     HandlerFailed,
 )
+from wagtailline_sidecar.demand import Demand
+from wagtailline_sidecar.demand_reporter import DemandReporter
 from wagtailline_sidecar.forwarder import Forwarder
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
@@ -29,9 +32,10 @@
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
 from wagtailline_sidecar.log_output import BoundedOutput
 from wagtailline_sidecar.model import IngressLimits, Picture
+from wagtailline_sidecar.notices import Notices
 from wagtailline_sidecar.peer_calls import PeerCalls
 from wagtailline_sidecar.picture import PictureKeeper
-from wagtailline_sidecar.quotas import Quotas, Tolerance
+from wagtailline_sidecar.quotas import Homes, Quotas, Tolerance
 from wagtailline_sidecar.routing import Splitter
 from wagtailline_sidecar.selection import Distance, Selector
 from wagtailline_sidecar.settings import SidecarSettings, parse_address
@@ -123,13 +127,19 @@
     random: Random
     telemetry: Telemetry
     keeper: PictureKeeper
+    incarnation: int
 
 
 def build_daemon(base: Base, source: Source) -> Daemon:
     """Make every service of the daemon; nothing runs before its start."""
     settings = base.settings
     gate, local, peers = _build_gate(base)
-    ingress = _build_ingress(base, peers)
+    notices = Notices(
+        parse_address(settings.peers), _report_fault(base.telemetry.observe)
+    )
+    demand = Demand(notices.host, base.clock)
+    quotas = _build_quotas(base, demand, notices)
+    ingress = _build_ingress(base, peers, quotas)
     readiness = Readiness(base.keeper)
     reader = SourceReader(
         source, base.keeper, base.clock, base.random, base.telemetry.observe
@@ -139,6 +149,13 @@
     kernel.register('source_reader', reader)
     kernel.register('local_upstream', local)
     kernel.register('peers', peers)
+    kernel.register('notices', notices)
+    kernel.register(
+        'demand_reporter',
+        DemandReporter(
+            demand, notices, lambda: quotas.hosts, base.incarnation
+        ),
+    )
     kernel.register('ingress', ingress)
     kernel.register(
         'readiness',
@@ -173,6 +190,7 @@
         SystemRandom(),
         telemetry,
         PictureKeeper(clock, telemetry.observe),
+        int(time.time() * _MILLISECONDS),
     )
 
 
@@ -197,7 +215,7 @@
         settings.vm,
         settings.data_centre,
         parse_address(settings.peers),
-        int(time.time() * _MILLISECONDS),
+        base.incarnation,
         GateService(gate, upstream, local, base.clock, observe),
         _report_fault(observe),
         lambda error: observe(HandlerFailed(repr(error))),
@@ -205,27 +223,37 @@
     return gate, local, peers
 
 
-def _build_ingress(base: Base, peers: PeerCalls) -> HttpListener:
-    settings, keeper = base.settings, base.keeper
-    quotas = Quotas(
-        base.clock,
-        Tolerance(
-            settings.quota_window_seconds,
-            settings.quota_overage,
-            settings.quota_slack,
-        ),
-    )
-    selector = Selector(
-        base.clock, base.random, settings.data_centre, Distance()
+def _build_quotas(base: Base, demand: Demand, notices: Notices) -> Quotas:
+    settings = base.settings
+    tolerance = Tolerance(
+        settings.quota_window_seconds,
+        settings.quota_overage,
+        settings.quota_slack,
     )
+    homes = Homes(notices.host, base.clock, tolerance)
+    borrowing = Borrowing(notices, homes)
+    quotas = Quotas(base.clock, tolerance, demand, borrowing.borrow)
 
     def follow(picture: Picture) -> None:
         hosts = {one.address.host for one in picture.endpoints}
+        accounts = picture.configuration.accounts
         quotas.note_members(hosts)
-        quotas.keep(picture.configuration.accounts)
-        selector.keep(picture)
+        quotas.keep(accounts)
+        homes.keep(accounts, hosts)
+
+    base.keeper.subscribe(follow)
+    return quotas
+
+
+def _build_ingress(
+    base: Base, peers: PeerCalls, quotas: Quotas
+) -> HttpListener:
+    settings, keeper = base.settings, base.keeper
+    selector = Selector(
+        base.clock, base.random, settings.data_centre, Distance()
+    )
 
-    keeper.subscribe(follow)
+    keeper.subscribe(selector.keep)
     slack_per_second = settings.retry_slack * _RETRY_PART / _WINDOW_SECONDS
     forwarder = Forwarder(
         selector,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
@@ -50,6 +50,7 @@
     reason: str
     executed: str
     attempts: str
+    inputs: str
     version: int
     picture_age_ms: int
     took_ms: int
@@ -89,7 +90,7 @@
         self, request: IncomingRequest, exchange: Exchange
     ) -> None:
         """Answer one request."""
-        match self._parts.admission.admit(request):
+        match await self._parts.admission.admit(request):
             case Ok(admitted):
                 await self._serve(request, admitted, exchange)
             case Err(refusal):
@@ -191,6 +192,7 @@
                 reason=_reason(outcome),
                 executed=_executed(outcome),
                 attempts=_describe(state.attempts if state else []),
+                inputs=outcome.limit if isinstance(outcome, Refusal) else '',
                 version=picture.configuration.version if picture else 0,
                 picture_age_ms=int(keeper.age_seconds * _MILLISECONDS)
                 if picture
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -1,12 +1,20 @@
 """One rate and burst of a client account over all daemons."""
 
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import NamedTuple, Protocol
 
+from wagtailline.placement import owner
+from wagtailline_sidecar.demand import Demand
 from wagtailline_sidecar.model import ClientAccount
+from wagtailline_sidecar.token_bucket import BucketLimit, TokenBucket
 
 # Daemons that were seen within this time still hold their shares.
 MEMBER_MEMORY_SECONDS = 30.0
+# Part of each limit that the daemons hold themselves, by demand. The rest is
+# at the account's home, for whoever has used up its own.
+LOCAL_PART = 0.4
+# A new home lends nothing while its predecessor may still lend.
+HOME_START_SECONDS = 3.0
 
 
 class Clock(Protocol):
@@ -27,38 +35,101 @@
     overage: float = 0.0
     slack: float = 0.0
 
+    def extend(self, account: ClientAccount) -> BucketLimit:
+        """Return the limit of an account with the tolerance added."""
+        factor = 1 + self.overage
+        return BucketLimit(
+            account.rate * factor, account.burst * factor + self.slack
+        )
 
-class _Bucket:
-    """Token bucket of one account in this daemon."""
 
-    def __init__(self, now: float, capacity: float) -> None:
-        self.tokens = capacity
-        self.refilled_at = now
+class Loan(NamedTuple):
+    """What a home lends; ``wait_seconds`` tells when there is more."""
+
+    tokens: int
+    wait_seconds: float
+
+
+Borrow = Callable[[str, ClientAccount, int], Awaitable[Loan | None]]
+"""Asks a host for tokens of an account; None without an answer."""
+
+
+class Homes:
+    """Buckets of the accounts whose home this daemon is."""
+
+    def __init__(
+        self, host: str, clock: Clock, tolerance: Tolerance
+    ) -> None:
+        """Lend nothing before the accounts are known."""
+        self._host = host
+        self._clock = clock
+        self._tolerance = tolerance
+        self._buckets: dict[str, TokenBucket] = {}
+        self._accounts: Mapping[str, ClientAccount] = {}
+
+    def keep(
+        self, accounts: Mapping[str, ClientAccount], hosts: Collection[str]
+    ) -> None:
+        """Take the accounts in force, and the hosts among which homes lie."""
+        start = self._clock.monotonic() + HOME_START_SECONDS
+        former, self._buckets = self._buckets, {}
+        self._accounts = accounts
+        for name in accounts:
+            if owner(name, hosts) == self._host:
+                bucket = former.get(name) or TokenBucket(start)
+                self._buckets[name] = bucket
+
+    def lend(self, name: str, wanted: int) -> Loan:
+        """Lend tokens of an account, as many as there are."""
+        account, bucket = self._accounts.get(name), self._buckets.get(name)
+        if account is None or bucket is None:
+            return Loan(0, HOME_START_SECONDS)
+        whole = self._tolerance.extend(account)
+        part = 1 - LOCAL_PART
+        limit = BucketLimit(whole.rate * part, whole.capacity * part)
+        now = self._clock.monotonic()
+        if now >= bucket.refilled_at:
+            bucket.refill(now, limit)
+        lent = min(wanted, int(bucket.tokens))
+        if lent > 0 and bucket.take(lent):
+            return Loan(lent, 0)
+        return Loan(0, bucket.wait_seconds(limit))
 
 
 class Quotas:
-    """Gives each daemon an equal share of each account's rate and burst.
+    """This daemon's part of each account's limit.
 
-    Equal shares need no messages, so partitions, restarts and late peers
-    cannot add up to more than the limit. The platform's tolerance is shared
-    out too and absorbs requests that arrive unevenly.
+    Local parts follow the reported demand and add up to one; a daemon that
+    is not heard of keeps an equal part. Partitions and restarts therefore
+    cannot add up to more than the limit.
     """
 
-    def __init__(self, clock: Clock, tolerance: Tolerance) -> None:
+    def __init__(
+        self, clock: Clock, tolerance: Tolerance, demand: Demand, borrow: Borrow
+    ) -> None:
         """Know no daemon but this one."""
         self._clock = clock
+        self._demand = demand
         self._tolerance = tolerance
-        self._buckets: dict[str, _Bucket] = {}
+        self._borrow = borrow
+        self._buckets: dict[str, TokenBucket] = {}
         self._members: dict[str, float] = {}
+        self._present: tuple[str, ...] = ()
 
     @property
     def members(self) -> int:
         """Return the number of daemons that hold a share."""
         return max(len(self._members), 1)
 
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Return the hosts of the daemons that hold a share."""
+        return frozenset(self._members)
+
     def note_members(self, hosts: set[str]) -> None:
         """Take the daemons that are known now."""
         now = self._clock.monotonic()
+        self._present = tuple(sorted(hosts))
         self._members.update(dict.fromkeys(hosts, now))
         self._members = {
             host: seen
@@ -67,41 +138,57 @@
         }
 
     def keep(self, accounts: Mapping[str, ClientAccount]) -> None:
-        """Drop the buckets of accounts that are gone."""
+        """Drop the buckets of accounts that are gone, and begin new ones."""
         for name in self._buckets.keys() - accounts.keys():
             self._buckets.pop(name)
+        for account in accounts.values():
+            if account.name not in self._buckets:
+                self._refill(account)
 
-    def take(self, account: ClientAccount) -> float:
+    async def take(self, account: ClientAccount) -> float:
         """Take one request, or return the seconds until one is there."""
         if account.rate <= 0:
             return 0
-        rate, capacity = self._share(account)
-        bucket = self._refill(account.name, rate, capacity)
-        if bucket.tokens < 1:
-            return (1 - bucket.tokens) / rate
-        bucket.tokens -= 1
-        return 0
+        self._demand.count(account.name)
+        bucket = self._refill(account)
+        if bucket.take():
+            return 0
+        wait = bucket.wait_seconds(self._limit(account))
+        home = owner(account.name, self._present)
+        if home is None:
+            return wait
+        loan = await self._borrow(home, account, 1)
+        if loan is None:
+            return wait
+        if loan.tokens:
+            bucket.give_back(loan.tokens - 1)
+            return 0
+        return min(wait, loan.wait_seconds)
 
     def give_back(self, account: ClientAccount) -> None:
         """Return a request that did not run."""
         bucket = self._buckets.get(account.name)
         if account.rate > 0 and bucket is not None:
-            bucket.tokens += 1
+            bucket.give_back(1)
+
+    def describe(self, account: ClientAccount) -> str:
+        """Return the figures behind a decision, for the log."""
+        share = self._demand.share(account.name, self._members)
+        bucket = self._buckets.get(account.name)
+        tokens = bucket.tokens if bucket else 0
+        return f'share={share:.3f} tokens={tokens:.1f} of={self.members}'
 
-    def _share(self, account: ClientAccount) -> tuple[float, float]:
-        tolerance = self._tolerance
-        rate = account.rate * (1 + tolerance.overage)
-        burst = account.burst * (1 + tolerance.overage) + tolerance.slack
-        return rate / self.members, max(burst / self.members, 1)
+    def _limit(self, account: ClientAccount) -> BucketLimit:
+        whole = self._tolerance.extend(account)
+        share = self._demand.share(account.name, self._members)
+        part = share * LOCAL_PART
+        return BucketLimit(whole.rate * part, whole.capacity * part)
 
-    def _refill(self, name: str, rate: float, capacity: float) -> _Bucket:
+    def _refill(self, account: ClientAccount) -> TokenBucket:
         now = self._clock.monotonic()
-        bucket = self._buckets.get(name)
+        bucket = self._buckets.get(account.name)
         if bucket is None:
             # A full bucket at each start would add up over restarts.
-            bucket = _Bucket(now, min(capacity, 1))
-            self._buckets[name] = bucket
-        passed = now - bucket.refilled_at
-        bucket.refilled_at = now
-        bucket.tokens = min(bucket.tokens + passed * rate, capacity)
+            bucket = self._buckets[account.name] = TokenBucket(now)
+        bucket.refill(now, self._limit(account))
         return bucket
