Weigh bytes between data centres in the choice of an endpoint

Change: 0.1 s a kilobyte, head bytes counted, speeds of endpoints learned slower than the spread of service times.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -74,16 +74,15 @@
         )
         match admitted:
             case Ok(slot):
-                return await self._run(request, body, slot, deadline)
+                return await self._run(request, body, slot, arrived)
             case Err(refusal):
                 self._note(request, refusal, arrived, self._clock.monotonic())
         return admitted
 
     async def _run(
-        self, request: CallRequest, body: Body, slot: Slot, deadline: float
+        self, request: CallRequest, body: Body, slot: Slot, arrived: float
     ) -> Result[Answer, Refusal]:
-        arrived = deadline - request.timeout_ms / _MILLISECONDS
-        left = deadline - slot.started + RETURN_SECONDS
+        left = arrived + request.timeout_ms / _MILLISECONDS - slot.started
         try:
             outcome = await self._upstream.run(request, body, left)
         except BaseException:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -12,8 +12,12 @@
 MAX_HOLD_OFF_SECONDS = 2.0
 # Reported waits lose their weight with this half-life.
 REPORT_HALF_LIFE_SECONDS = 0.5
-# Part of an estimate that one more observation replaces.
+# Part of an estimate that one more observation replaces. Service times of
+# one route spread widely, so the speed of an endpoint is learned slowly.
 _SMOOTHING = 0.15
+_SPEED_SMOOTHING = 0.05
+# Head of a request and of its answer between two daemons.
+_OVERHEAD_KILOBYTES = 0.6
 _FIRST_SECONDS = 0.15
 _FIRST_ANSWER_KILOBYTES = 2.0
 # The relative spread that keeps daemons with equal views apart.
@@ -36,7 +40,7 @@
     """
 
     seconds: float = 0.03
-    seconds_per_kilobyte: float = 0.04
+    seconds_per_kilobyte: float = 0.1
 
 
 class _EndpointView:
@@ -136,7 +140,7 @@
             return
         usual = self._route_seconds.get(route.name, took_seconds)
         ratio = took_seconds / max(usual, 0.001)
-        view.speed += _SMOOTHING * (min(ratio, 10) - view.speed)
+        view.speed += _SPEED_SMOOTHING * (min(ratio, 5) - view.speed)
         self._route_seconds[route.name] = usual + _SMOOTHING * (
             took_seconds - usual
         )
@@ -177,6 +181,7 @@
             kilobytes = self._route_kilobytes.get(
                 route.name, _FIRST_ANSWER_KILOBYTES
             )
+            kilobytes += _OVERHEAD_KILOBYTES
             expected += self._distance.seconds
             expected += kilobytes * self._distance.seconds_per_kilobyte
         return expected
