Bound a cold upstream before the configuration is known, follow settings

Change: the bucket starts with a low known rate; SIGHUP and a changed file are followed; a third instead of half of the retry budget is used; of two entries at one address the later incarnation counts.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/events.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/events.py
@@ -4,7 +4,7 @@
 import re
 import sys
 from collections.abc import Mapping
-from typing import Any, NamedTuple, TextIO
+from typing import Any, NamedTuple, Protocol
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
@@ -42,6 +42,16 @@
         )
 
 
+class Output(Protocol):
+    """Text output of log lines."""
+
+    def write(self, text: str, /) -> object:
+        """Write one line."""
+
+    def flush(self) -> object:
+        """Write what is held back."""
+
+
 class EventLog:
     """Writes typed events; the class name gives the stable event name."""
 
@@ -76,7 +86,7 @@
     return _WORD_START.sub('_', type(event).__name__).lower()
 
 
-def open_event_log(level: str, stream: TextIO | None = None) -> EventLog:
+def open_event_log(level: str, stream: Output | None = None) -> EventLog:
     """Return the log of this process, written to standard error."""
     logger = logging.getLogger(_LOGGER_NAME)
     output = logging.StreamHandler(stream or sys.stderr)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -1,5 +1,6 @@
 """Decides whether and as whom a request may run."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -10,6 +11,7 @@
 from wagtailline_sidecar.model import ClientAccount, Picture, Route
 from wagtailline_sidecar.picture import PictureKeeper
 from wagtailline_sidecar.quotas import Quotas
+from wagtailline_sidecar.routing import RouteTable
 from wagtailline_sidecar.server_connection import IncomingRequest
 
 # Unknown names are denied for good only while the picture is this young.
@@ -37,7 +39,7 @@
         keeper: PictureKeeper,
         quotas: Quotas,
         names: HeaderNames,
-        key_proof_seconds: float,
+        key_proof_seconds: Callable[[], float],
     ) -> None:
         """Refuse keys when the picture is older than the proof allows."""
         self._keeper = keeper
@@ -56,14 +58,13 @@
         route = table.find_route(host.decode('latin-1'), request.target)
         if route is None:
             return Err(self._deny('route_missing'))
-        account = None
-        if table.has_accounts and not route.is_public:
-            match self._identify(request.headers):
-                case Ok(account):
-                    pass
-                case Err(refusal):
-                    return Err(refusal)
-        return await self._admit(request, picture, route, account)
+        if route.is_public or not table.has_accounts:
+            return await self._admit(request, picture, route, None)
+        match self._identify(request.headers, table):
+            case Ok(account):
+                return await self._admit(request, picture, route, account)
+            case Err(refusal):
+                return Err(refusal)
 
     async def _admit(
         self,
@@ -98,15 +99,16 @@
             )
         )
 
-    def _identify(self, headers: Headers) -> Result[ClientAccount, Refusal]:
-        table = self._keeper.table
+    def _identify(
+        self, headers: Headers, table: RouteTable
+    ) -> Result[ClientAccount, Refusal]:
         field = find_header(headers, self._names.authorization) or b''
         scheme, _, key = field.partition(b' ')
         if scheme.lower() != _BEARER or not key.strip():
             return Err(Refusal('key_missing', 'no'))
-        if self._keeper.age_seconds > self._key_proof_seconds:
+        if self._keeper.age_seconds > self._key_proof_seconds():
             return Err(Refusal('picture_stale', 'no'))
-        account = table and table.find_account(key.strip().decode('latin-1'))
+        account = table.find_account(key.strip().decode('latin-1'))
         if account is None:
             return Err(self._deny('key_unknown'))
         return Ok(account)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/borrowing.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/borrowing.py
@@ -37,9 +37,7 @@
         if loop.time() < self._silent_until.get(host, 0):
             return None
         number = next(self._numbers)
-        request = LoanRequest(
-            self._notices.host, number, account.name, tokens
-        )
+        request = LoanRequest(self._notices.host, number, account.name, tokens)
         for _ in range(_TRIES):
             self._pending[number] = loop.create_future()
             self._notices.send(request, (host,))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -161,8 +161,8 @@
             raise ValueError('protocol switch was not asked for')
         if self._is_complete or self._request is None:
             raise ValueError('answer behind the answer')
-        self._is_skipping = (
-            status < _FIRST_FINAL_STATUS or not self._is_own(headers)
+        self._is_skipping = status < _FIRST_FINAL_STATUS or not self._is_own(
+            headers
         )
         if status >= _FIRST_FINAL_STATUS and self._is_skipping:
             self._must_close = True
@@ -229,9 +229,7 @@
         try:
             async for chunk in content:
                 if self._transport is not None:
-                    self._transport.write(
-                        b'%x\r\n%b\r\n' % (len(chunk), chunk)
-                    )
+                    self._transport.write(b'%x\r\n%b\r\n' % (len(chunk), chunk))
         except BodyTruncated:
             # The server must not take the body for a whole one.
             self.close()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
+from pathlib import Path
 from random import Random, SystemRandom
 from typing import NamedTuple
 
@@ -39,6 +40,7 @@
 from wagtailline_sidecar.routing import Splitter
 from wagtailline_sidecar.selection import Distance, Selector
 from wagtailline_sidecar.settings import SidecarSettings, parse_address
+from wagtailline_sidecar.settings_watch import SettingsWatch
 from wagtailline_sidecar.source_reader import Source, SourceReader
 from wagtailline_sidecar.status_pages import answer_metrics, answer_readiness
 from wagtailline_sidecar.telemetry import Telemetry
@@ -51,7 +53,7 @@
 _WINDOW_SECONDS = 10.0
 # Of what all daemons may use together, each daemon plans with this part, so
 # that unequal loads stay within the whole.
-_RETRY_PART = 0.5
+_RETRY_PART = 0.3
 _FINISH_POLL_SECONDS = 0.05
 # The platform needs two questions without a 200 to send clients elsewhere.
 _LEAVE_SECONDS = 2.5
@@ -60,7 +62,7 @@
 class Daemon(NamedTuple):
     """All services of one process, started and stopped together."""
 
-    settings: SidecarSettings
+    settings: SettingsWatch
     kernel: Kernel
     telemetry: Telemetry
     gate: Gate
@@ -71,27 +73,24 @@
     async def start(self) -> None:
         """Start every service; raise OSError when an address is taken."""
         await self.kernel.start()
+        settings = self.settings.current
         self.telemetry.observe(
-            DaemonStarted(
-                self.settings.vm,
-                self.settings.data_centre,
-                self.settings.ingress,
-            )
+            DaemonStarted(settings.vm, settings.data_centre, settings.ingress)
         )
 
     async def stop(self, reason: str) -> None:
         """Stop as planned: no new work, then finish what is in progress."""
-        self.telemetry.observe(DaemonStopping(self.settings.vm, reason))
+        self.telemetry.observe(DaemonStopping(self.settings.current.vm, reason))
         self.readiness.is_stopping = True
         self.gate.close(STOPPING)
         self.ingress.finish()
-        seconds = self.settings.stop_ms / _MILLISECONDS
+        seconds = self.settings.current.stop_ms / _MILLISECONDS
         with suppress(TimeoutError):
             async with asyncio.timeout(seconds):
                 await self._finish()
         self.telemetry.observe(
             DaemonStopped(
-                self.settings.vm,
+                self.settings.current.vm,
                 self.ingress.in_progress,
                 self.peers.in_progress,
             )
@@ -101,7 +100,9 @@
     async def _finish(self) -> None:
         await asyncio.sleep(_LEAVE_SECONDS)
         self.ingress.close_idle()
-        while self.ingress.in_progress or self.peers.in_progress:
+        while True:
+            if not (self.ingress.in_progress or self.peers.in_progress):
+                return
             await asyncio.sleep(_FINISH_POLL_SECONDS)
 
 
@@ -121,7 +122,7 @@
 class Base(NamedTuple):
     """What every service is built on."""
 
-    settings: SidecarSettings
+    watch: SettingsWatch
     names: HeaderNames
     clock: BootClock
     random: Random
@@ -129,6 +130,20 @@
     keeper: PictureKeeper
     incarnation: int
 
+    @property
+    def settings(self) -> SidecarSettings:
+        """Return the settings in force."""
+        return self.watch.current
+
+    def tolerance(self) -> Tolerance:
+        """Return the tolerance of quotas in force."""
+        settings = self.settings
+        return Tolerance(
+            settings.quota_window_seconds,
+            settings.quota_overage,
+            settings.quota_slack,
+        )
+
 
 def build_daemon(base: Base, source: Source) -> Daemon:
     """Make every service of the daemon; nothing runs before its start."""
@@ -146,15 +161,14 @@
     )
     base.keeper.subscribe(local.follow)
     kernel = Kernel()
+    kernel.register('settings', base.watch)
     kernel.register('source_reader', reader)
     kernel.register('local_upstream', local)
     kernel.register('peers', peers)
     kernel.register('notices', notices)
     kernel.register(
         'demand_reporter',
-        DemandReporter(
-            demand, notices, lambda: quotas.hosts, base.incarnation
-        ),
+        DemandReporter(demand, notices, lambda: quotas.hosts, base.incarnation),
     )
     kernel.register('ingress', ingress)
     kernel.register(
@@ -174,17 +188,19 @@
             ),
         )
     return Daemon(
-        settings, kernel, base.telemetry, gate, peers, ingress, readiness
+        base.watch, kernel, base.telemetry, gate, peers, ingress, readiness
     )
 
 
-def build_base(settings: SidecarSettings, names: HeaderNames) -> Base:
+def build_base(
+    path: Path, settings: SidecarSettings, names: HeaderNames
+) -> Base:
     """Make what every service is built on."""
     output = BoundedOutput(_STDOUT, settings.log_lines_per_second)
     telemetry = Telemetry(open_event_log(settings.log_level, output))
     clock = BootClock()
     return Base(
-        settings,
+        SettingsWatch(path, settings, telemetry.observe),
         names,
         clock,
         SystemRandom(),
@@ -224,15 +240,9 @@
 
 
 def _build_quotas(base: Base, demand: Demand, notices: Notices) -> Quotas:
-    settings = base.settings
-    tolerance = Tolerance(
-        settings.quota_window_seconds,
-        settings.quota_overage,
-        settings.quota_slack,
-    )
-    homes = Homes(notices.host, base.clock, tolerance)
+    homes = Homes(notices.host, base.clock, base.tolerance)
     borrowing = Borrowing(notices, homes)
-    quotas = Quotas(base.clock, tolerance, demand, borrowing.borrow)
+    quotas = Quotas(base.clock, base.tolerance, demand, borrowing.borrow)
 
     def follow(picture: Picture) -> None:
         hosts = {one.address.host for one in picture.endpoints}
@@ -269,7 +279,7 @@
                 keeper,
                 quotas,
                 base.names,
-                settings.key_proof_ms / _MILLISECONDS,
+                lambda: base.settings.key_proof_ms / _MILLISECONDS,
             ),
             quotas,
             Splitter(base.random),
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon_events.py
@@ -26,13 +26,6 @@
     calls_cut: int
 
 
-class SettingsRead(NamedTuple):
-    """The settings file was read again after a signal."""
-
-    path: str
-    outcome: str
-
-
 class FrameRejected(NamedTuple):
     """A peer sent bytes that are no message."""
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand.py
@@ -1,7 +1,9 @@
 """Demand of each client account at each daemon, as the daemons report it."""
 
 from collections.abc import Iterable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
+
+from wagtailline.ports import MonotonicClock
 
 # A report that is older counts as missing.
 REPORT_LIFETIME_SECONDS = 6.0
@@ -14,13 +16,6 @@
 SETTLE_SECONDS = 0.3
 
 
-class Clock(Protocol):
-    """Monotonic time in seconds."""
-
-    def monotonic(self) -> float:
-        """Return the time of the running loop."""
-
-
 class _Report(NamedTuple):
     number: int
     received_at: float
@@ -37,7 +32,7 @@
     from the same figures.
     """
 
-    def __init__(self, host: str, clock: Clock) -> None:
+    def __init__(self, host: str, clock: MonotonicClock) -> None:
         """Know no report."""
         self._host = host
         self._clock = clock
@@ -99,9 +94,7 @@
         part = self._demand(self._host, account, now) / total
         return EQUAL_PART * equal + (1 - EQUAL_PART) * rest * part
 
-    def _take(
-        self, host: str, number: int, demands: dict[str, float]
-    ) -> None:
+    def _take(self, host: str, number: int, demands: dict[str, float]) -> None:
         now = self._clock.monotonic()
         former = self._reports.get(host)
         if former is not None and former.number >= number:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -16,7 +16,7 @@
     Refusal,
     WholeBody,
 )
-from wagtailline.ports import Clock
+from wagtailline.ports import MonotonicClock
 from wagtailline.routing import RetryBudget
 from wagtailline_sidecar.admission import Admitted
 from wagtailline_sidecar.model import Endpoint
@@ -79,7 +79,7 @@
         self,
         selector: Selector,
         gates: CallHandler,
-        clock: Clock,
+        clock: MonotonicClock,
         retry_ratio: float,
         retries_per_second: Callable[[], float],
     ) -> None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
@@ -3,11 +3,12 @@
 import asyncio
 import heapq
 import itertools
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from wagtailline.calls import Refusal
+from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.warm_up import WarmUp
 
 # Requests that may wait for a slot at once.
@@ -18,13 +19,6 @@
 _MILLISECONDS = 1000
 
 
-class Clock(Protocol):
-    """Monotonic time in seconds."""
-
-    def monotonic(self) -> float:
-        """Return the time of the running loop."""
-
-
 class Ticket(NamedTuple):
     """A request that wants a slot.
 
@@ -64,7 +58,7 @@
 class Gate:
     """Slots of the local upstream and the queue for them."""
 
-    def __init__(self, clock: Clock, warm_up: WarmUp) -> None:
+    def __init__(self, clock: MonotonicClock, warm_up: WarmUp) -> None:
         """Start closed, with no slot, until the upstream is known."""
         self._clock = clock
         self._warm_up = warm_up
@@ -81,6 +75,10 @@
         """Return the number of requests that wait."""
         return sum(not waiter.slot.done() for waiter in self._queue)
 
+    def describe_warm_up(self) -> str:
+        """Return the state of the warm-up, for the log."""
+        return self._warm_up.describe()
+
     def estimate_seconds(self, workload: str) -> float:
         """Return the expected service time of a workload."""
         known = self._estimates.get(workload)
@@ -102,9 +100,7 @@
             return cold_wait
         work = sum(self.estimate_seconds(one) for one in ahead)
         # The requests in progress have half of their time left on average.
-        residual = sum(self._estimates.values()) / max(
-            len(self._estimates), 1
-        )
+        residual = sum(self._estimates.values()) / max(len(self._estimates), 1)
         busy = work + residual / 2
         return max(cold_wait, busy / max(self.slots, 1))
 
@@ -170,9 +166,7 @@
                 return
             heapq.heappop(self._queue)
             self.in_progress += 1
-            waiter.slot.set_result(
-                Ok(Slot(self, waiter.ticket.workload, now))
-            )
+            waiter.slot.set_result(Ok(Slot(self, waiter.ticket.workload, now)))
         self._watch_deadlines(now)
 
     def _least_seconds(self, waiter: _Waiter) -> float:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -37,6 +37,7 @@
     took_ms: int
     in_progress: int
     queued: int
+    warm_up: str
 
 
 class GateService:
@@ -134,6 +135,7 @@
                 took_ms=int((now - started) * _MILLISECONDS),
                 in_progress=self._gate.in_progress,
                 queued=self._gate.queued,
+                warm_up=self._gate.describe_warm_up(),
             )
         )
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -57,6 +57,4 @@
         self.close_idle()
 
     def _make_connection(self) -> ServerConnection:
-        return ServerConnection(
-            self._handler, self._limits, self._connections
-        )
+        return ServerConnection(self._handler, self._limits, self._connections)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
@@ -46,9 +46,7 @@
     return frozenset(token.strip().lower() for token in field.split(b','))
 
 
-def drop_hop_by_hop(
-    headers: Headers, further: Iterable[bytes] = ()
-) -> Headers:
+def drop_hop_by_hop(headers: Headers, further: Iterable[bytes] = ()) -> Headers:
     """Return the headers that concern both ends.
 
     ``further`` are lower-case names to drop as well.
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
@@ -12,6 +12,7 @@
     Body,
     BodyTruncated,
     Deadline,
+    Executed,
     Headers,
     Refusal,
     WholeBody,
@@ -107,7 +108,7 @@
             with Deadline(left):
                 outcome = await self._forward(request, state)
         except TimeoutError:
-            executed = 'unknown' if state.is_sent else 'no'
+            executed: Executed = 'unknown' if state.is_sent else 'no'
             outcome = Err(Refusal('deadline', executed))
         except BodyTruncated:
             outcome = Err(Refusal('body_truncated', 'unknown'))
@@ -162,12 +163,8 @@
     ) -> None:
         status = refusal_status(refusal)
         self._note(request, state, refusal, status)
-        problem = make_problem(
-            refusal, self._names.retry_after, self._random
-        )
-        await exchange.respond(
-            problem.status, problem.headers, problem.content
-        )
+        problem = make_problem(refusal, self._names.retry_after, self._random)
+        await exchange.respond(problem.status, problem.headers, problem.content)
 
     def _note(
         self,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/log_output.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/log_output.py
@@ -1,13 +1,13 @@
 """Log output that never blocks and stays bounded."""
 
+import io
 import os
 import time
-from typing import TextIO
 
 _BUFFER_SECONDS = 2.0
 
 
-class BoundedOutput(TextIO):
+class BoundedOutput(io.TextIOBase):
     """Text stream to a descriptor that drops lines instead of waiting.
 
     At most ``lines_per_second`` are written on average; a line tells how
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/notices.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/notices.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
 from result import Err, Ok
 
@@ -100,7 +100,7 @@
             local_addr=self._address,
             family=socket.AF_INET,
         )
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        self._transport = transport
 
     async def stop(self) -> None:
         """Receive no more."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from wagtailline.ports import Address
 from wagtailline_sidecar.checks import ConfigurationFault, check_configuration
 from wagtailline_sidecar.model import Configuration, Endpoint, Picture
 from wagtailline_sidecar.routing import RouteTable
@@ -103,7 +104,7 @@
         picture = Picture(
             reading.revision,
             configuration,
-            self._merge(reading.endpoints),
+            _drop_replaced(self._merge(reading.endpoints)),
             reading.closed_data_centres,
         )
         self._install(picture)
@@ -153,9 +154,7 @@
         self._refused_version = offered.version
         in_force = former.version if former else 0
         problem = '; '.join(f'{one.subject}: {one.problem}' for one in faults)
-        self._observe(
-            ConfigurationRefused(offered.version, in_force, problem)
-        )
+        self._observe(ConfigurationRefused(offered.version, in_force, problem))
 
     def _merge(self, listed: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
         """Keep entries that lapsed in an outage until they may be back."""
@@ -174,6 +173,20 @@
         return (*listed, *kept)
 
 
+def _drop_replaced(endpoints: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
+    """Keep the latest incarnation at each address.
+
+    The entry of an endpoint that crashed stays until it lapses, also when
+    another incarnation has taken its address.
+    """
+    latest: dict[Address, Endpoint] = {}
+    for endpoint in endpoints:
+        former = latest.get(endpoint.address)
+        if former is None or former.started_ms <= endpoint.started_ms:
+            latest[endpoint.address] = endpoint
+    return tuple(latest.values())
+
+
 def _differ(former: Picture, picture: Picture) -> bool:
     return (
         former.configuration is not picture.configuration
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -1,9 +1,10 @@
 """One rate and burst of a client account over all daemons."""
 
 from collections.abc import Awaitable, Callable, Collection, Mapping
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from wagtailline.placement import owner
+from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.demand import Demand
 from wagtailline_sidecar.model import ClientAccount
 from wagtailline_sidecar.token_bucket import BucketLimit, TokenBucket
@@ -17,13 +18,6 @@
 HOME_START_SECONDS = 3.0
 
 
-class Clock(Protocol):
-    """Monotonic time in seconds."""
-
-    def monotonic(self) -> float:
-        """Return the time of the running loop."""
-
-
 class Tolerance(NamedTuple):
     """How far the whole fleet may exceed an account's limit.
 
@@ -58,7 +52,10 @@
     """Buckets of the accounts whose home this daemon is."""
 
     def __init__(
-        self, host: str, clock: Clock, tolerance: Tolerance
+        self,
+        host: str,
+        clock: MonotonicClock,
+        tolerance: Callable[[], Tolerance],
     ) -> None:
         """Lend nothing before the accounts are known."""
         self._host = host
@@ -84,7 +81,7 @@
         account, bucket = self._accounts.get(name), self._buckets.get(name)
         if account is None or bucket is None:
             return Loan(0, HOME_START_SECONDS)
-        whole = self._tolerance.extend(account)
+        whole = self._tolerance().extend(account)
         part = 1 - LOCAL_PART
         limit = BucketLimit(whole.rate * part, whole.capacity * part)
         now = self._clock.monotonic()
@@ -105,7 +102,11 @@
     """
 
     def __init__(
-        self, clock: Clock, tolerance: Tolerance, demand: Demand, borrow: Borrow
+        self,
+        clock: MonotonicClock,
+        tolerance: Callable[[], Tolerance],
+        demand: Demand,
+        borrow: Borrow,
     ) -> None:
         """Know no daemon but this one."""
         self._clock = clock
@@ -179,7 +180,7 @@
         return f'share={share:.3f} tokens={tokens:.1f} of={self.members}'
 
     def _limit(self, account: ClientAccount) -> BucketLimit:
-        whole = self._tolerance.extend(account)
+        whole = self._tolerance().extend(account)
         share = self._demand.share(account.name, self._members)
         part = share * LOCAL_PART
         return BucketLimit(whole.rate * part, whole.capacity * part)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -1,9 +1,11 @@
 """Chooses the endpoint that is expected to answer a request first."""
 
+import math
 from collections.abc import Set
 from random import Random
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
+from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.model import Endpoint, Picture, Route
 
 # A refused connection keeps an endpoint out of the choice for this time,
@@ -25,13 +27,6 @@
 _LEAST_SUCCESS = 0.05
 
 
-class Clock(Protocol):
-    """Monotonic time in seconds."""
-
-    def monotonic(self) -> float:
-        """Return the time of the running loop."""
-
-
 class Distance(NamedTuple):
     """What it costs to leave the data centre, in seconds of waiting.
 
@@ -61,7 +56,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: MonotonicClock,
         random: Random,
         data_centre: str,
         distance: Distance,
@@ -98,19 +93,16 @@
             and endpoint.data_centre not in picture.closed_data_centres
             and endpoint.identity not in tried
         ]
-        in_touch = [
-            one for one in usable if self._view(one).out_until <= now
-        ]
+        in_touch = [one for one in usable if self._view(one).out_until <= now]
         # When every endpoint is held off, the one that comes back first is
         # better than none.
-        candidates = in_touch or sorted(
-            usable, key=lambda one: self._view(one).out_until
-        )[:1]
+        candidates = (
+            in_touch
+            or sorted(usable, key=lambda one: self._view(one).out_until)[:1]
+        )
         if not candidates:
             return None
-        return min(
-            candidates, key=lambda one: self._expect(one, route, now)
-        )
+        return min(candidates, key=lambda one: self._expect(one, route, now))
 
     def note_sent(self, endpoint: Endpoint) -> None:
         """Count a request on its way to an endpoint."""
@@ -162,7 +154,7 @@
     def note_failure(self, endpoint: Endpoint) -> None:
         """Hold off from an endpoint that could not be reached."""
         view = self._view(endpoint)
-        doubled = HOLD_OFF_SECONDS * 2**view.failures
+        doubled = math.ldexp(HOLD_OFF_SECONDS, view.failures)
         view.failures = min(view.failures + 1, 8)
         view.out_until = self._clock.monotonic() + min(
             doubled, MAX_HOLD_OFF_SECONDS
@@ -173,7 +165,9 @@
         service = self._route_seconds.get(route.name, _FIRST_SECONDS)
         service *= view.speed
         age = now - view.reported_at
-        wait = view.reported_wait * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        wait = view.reported_wait * math.pow(
+            0.5, age / REPORT_HALF_LIFE_SECONDS
+        )
         wait += service * view.outstanding / max(endpoint.slots, 1)
         expected = (wait + service) / max(view.success, _LEAST_SUCCESS)
         expected *= 1 + _NOISE * self._random.random()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -1,6 +1,7 @@
 """Reads the source again and again and keeps the picture current."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple, Protocol
@@ -97,6 +98,6 @@
             age = round(self._keeper.age_seconds, 3)
             self._observe(SourceLost(failure.reason, age))
         self.failures += 1
-        doubled = RETRY_SECONDS * 2 ** min(self.failures - 1, 4)
+        doubled = math.ldexp(RETRY_SECONDS, min(self.failures - 1, 4))
         pause = min(doubled, MAX_RETRY_SECONDS)
         return pause * (1 + self._random.random())
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
@@ -1,20 +1,15 @@
 """Keeps a cold upstream within the rate that it bears."""
 
-from typing import Protocol
+from wagtailline.ports import MonotonicClock
 
 # An upstream that served nothing for this long may have become cold.
 IDLE_SECONDS = 2.0
+# Rate until the configuration is known, in requests per second.
+UNKNOWN_RATE = 2.0
 # Requests above the rate that may start at once, as a part of a second.
 _BURST_SECONDS = 0.5
 
 
-class Clock(Protocol):
-    """Monotonic time in seconds."""
-
-    def monotonic(self) -> float:
-        """Return the time of the running loop."""
-
-
 class WarmUp:
     """Limits the starts of requests while the upstream is or may be cold.
 
@@ -22,12 +17,12 @@
     is warm; a lost connection makes it doubtful again.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        """Start in doubt and without a limit."""
+    def __init__(self, clock: MonotonicClock) -> None:
+        """Start in doubt, with a low rate."""
         self._clock = clock
-        self._rate = float(0)
+        self._rate = UNKNOWN_RATE
         self._tokens = float(1)
-        self._refilled_at = float('-inf')
+        self._refilled_at: float | None = None
         self._cold_until = float('-inf')
         self._started_at = float('-inf')
         self.is_doubtful = True
@@ -39,6 +34,14 @@
             return False
         return self.is_doubtful or self._clock.monotonic() < self._cold_until
 
+    def describe(self) -> str:
+        """Return the state and the figures behind it, for the log."""
+        if not self.is_cold:
+            return 'warm'
+        state = 'doubtful' if self.is_doubtful else 'cold'
+        left = max(self._cold_until - self._clock.monotonic(), 0)
+        return f'{state}:{left:.1f}s:{self._tokens:.1f}of{self._rate:g}'
+
     def set_rate(self, requests_per_second: float) -> None:
         """Take the rate that a cold upstream bears; 0 means any."""
         self._rate = requests_per_second
@@ -83,10 +86,8 @@
         return min(wait, self._cold_until - self._clock.monotonic())
 
     def _refill(self, now: float) -> None:
-        passed = now - self._refilled_at
+        refilled_at = now if self._refilled_at is None else self._refilled_at
         self._refilled_at = now
         capacity = max(self._rate * _BURST_SECONDS, 1)
-        if passed * self._rate >= capacity:
-            self._tokens = capacity
-        else:
-            self._tokens = min(self._tokens + passed * self._rate, capacity)
+        grown = self._tokens + (now - refilled_at) * self._rate
+        self._tokens = min(grown, capacity)
--- a/packages/wagtailline/src/wagtailline/ports.py
+++ b/packages/wagtailline/src/wagtailline/ports.py
@@ -15,12 +15,16 @@
     port: int
 
 
-class Clock(Protocol):
-    """Source of time. All durations are seconds."""
+class MonotonicClock(Protocol):
+    """Time that only grows, in seconds."""
 
     def monotonic(self) -> float:
         """Return a time that never goes back, comparable in one process."""
 
+
+class Clock(MonotonicClock, Protocol):
+    """Source of time. All durations are seconds."""
+
     def wall(self) -> float:
         """Return the seconds since the Unix epoch."""
 
--- a/packages/wagtailline/src/wagtailline/routing/_budget.py
+++ b/packages/wagtailline/src/wagtailline/routing/_budget.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from wagtailline.ports import Clock
+from wagtailline.ports import MonotonicClock
 
 WINDOW_SECONDS = 10
 RETRY_RATIO = 0.1
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: MonotonicClock,
         ratio: float = RETRY_RATIO,
         retries_per_second: float = RETRIES_PER_SECOND,
     ) -> None:
