--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_base.py
@@ -0,0 +1,73 @@
+"""Makes what every service of the sidecar is built on."""
+
+import time
+from pathlib import Path
+from random import Random, SystemRandom
+from typing import NamedTuple
+
+from wagtailline.codec import FrameFault
+from wagtailline_daemon.events import open_event_log
+from wagtailline_sidecar.clock import BootClock
+from wagtailline_sidecar.daemon_events import FrameRejected
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.log_output import BoundedOutput
+from wagtailline_sidecar.picture import PictureKeeper
+from wagtailline_sidecar.quotas import Tolerance
+from wagtailline_sidecar.settings import SidecarSettings
+from wagtailline_sidecar.settings_watch import SettingsWatch
+from wagtailline_sidecar.telemetry import Telemetry
+
+_STDOUT = 1
+_MILLISECONDS = 1000
+
+
+class Base(NamedTuple):
+    """What every service is built on."""
+
+    watch: SettingsWatch
+    names: HeaderNames
+    clock: BootClock
+    random: Random
+    telemetry: Telemetry
+    keeper: PictureKeeper
+    incarnation: int
+
+    @property
+    def settings(self) -> SidecarSettings:
+        """Return the settings in force."""
+        return self.watch.current
+
+    def tolerance(self) -> Tolerance:
+        """Return the tolerance of quotas in force."""
+        settings = self.settings
+        return Tolerance(
+            settings.quota_window_seconds,
+            settings.quota_overage,
+            settings.quota_slack,
+        )
+
+    def key_proof_seconds(self) -> float:
+        """Return how long a picture proves that a key is valid."""
+        return self.settings.key_proof_ms / _MILLISECONDS
+
+    def report_fault(self, fault: FrameFault) -> None:
+        """Report bytes of a peer that are no message."""
+        self.telemetry.observe(FrameRejected(str(fault)))
+
+
+def build_base(
+    path: Path, settings: SidecarSettings, names: HeaderNames
+) -> Base:
+    """Make what every service is built on."""
+    output = BoundedOutput(_STDOUT, settings.log_lines_per_second)
+    telemetry = Telemetry(open_event_log(settings.log_level, output))
+    clock = BootClock()
+    return Base(
+        SettingsWatch(path, settings, telemetry.observe),
+        names,
+        clock,
+        SystemRandom(),
+        telemetry,
+        PictureKeeper(clock, telemetry.observe),
+        int(time.time() * _MILLISECONDS),
+    )
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -0,0 +1,107 @@
+"""Makes the services that a request passes on its way in."""
+
+from typing import NamedTuple
+
+from wagtailline_sidecar._compose_base import Base
+from wagtailline_sidecar.admission import Admission
+from wagtailline_sidecar.borrowing import Borrowing
+from wagtailline_sidecar.demand import Demand
+from wagtailline_sidecar.demand_reporter import DemandReporter
+from wagtailline_sidecar.forwarder import Forwarder
+from wagtailline_sidecar.http_listener import HttpListener
+from wagtailline_sidecar.ingress import Ingress, IngressParts
+from wagtailline_sidecar.model import IngressLimits, Picture
+from wagtailline_sidecar.notices import Notices
+from wagtailline_sidecar.peer_calls import PeerCalls
+from wagtailline_sidecar.quotas import Homes, Members, Quotas
+from wagtailline_sidecar.routing import Splitter
+from wagtailline_sidecar.selection import Distance, Selector
+from wagtailline_sidecar.settings import parse_address
+
+_WINDOW_SECONDS = 10.0
+# Of what all daemons may repeat together, each daemon plans with this part:
+# loads are unequal, and the calls of a repeated request count as repeats.
+_RETRY_PART = 0.3
+
+
+class QuotaSide(NamedTuple):
+    """The limits of client accounts and the messages about them."""
+
+    members: Members
+    quotas: Quotas
+    notices: Notices
+    reporter: DemandReporter
+
+
+def build_quota_side(base: Base) -> QuotaSide:
+    """Make the quotas and let them follow the picture."""
+    notices = Notices(parse_address(base.settings.peers), base.report_fault)
+    demand = Demand(notices.host, base.clock)
+    members = Members(base.clock)
+    homes = Homes(notices.host, base.clock, base.tolerance, members)
+    borrowing = Borrowing(notices, homes)
+    quotas = Quotas(
+        base.clock, base.tolerance, demand, members, borrowing.borrow
+    )
+
+    def follow(picture: Picture) -> None:
+        accounts = picture.configuration.accounts
+        members.note({one.address.host for one in picture.endpoints})
+        quotas.keep(accounts)
+        homes.keep(accounts)
+
+    base.keeper.subscribe(follow)
+    reporter = DemandReporter(
+        demand, notices, lambda: members.hosts, base.incarnation
+    )
+    return QuotaSide(members, quotas, notices, reporter)
+
+
+def build_ingress(
+    base: Base, peers: PeerCalls, quota_side: QuotaSide
+) -> HttpListener:
+    """Make the listener for clients and the upstream on this VM."""
+    parts = IngressParts(
+        base.keeper,
+        Admission(
+            base.keeper,
+            quota_side.quotas,
+            base.names,
+            base.key_proof_seconds,
+        ),
+        quota_side.quotas,
+        Splitter(base.random),
+        _build_forwarder(base, peers, quota_side.members),
+    )
+    handler = Ingress(
+        parts,
+        base.names,
+        base.settings.service,
+        base.clock,
+        base.random,
+        base.telemetry.observe,
+    )
+
+    def limits() -> IngressLimits:
+        picture = base.keeper.current
+        return picture.configuration.limits if picture else IngressLimits()
+
+    return HttpListener(parse_address(base.settings.ingress), handler, limits)
+
+
+def _build_forwarder(
+    base: Base, peers: PeerCalls, members: Members
+) -> Forwarder:
+    settings = base.settings
+    selector = Selector(
+        base.clock, base.random, settings.data_centre, Distance()
+    )
+    base.keeper.subscribe(selector.keep)
+    slack_per_second = settings.retry_slack * _RETRY_PART / _WINDOW_SECONDS
+    return Forwarder(
+        selector,
+        peers,
+        base.clock,
+        settings.retry_ratio * _RETRY_PART,
+        lambda: slack_per_second / len(members),
+    )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand_reporter.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand_reporter.py
@@ -67,9 +67,8 @@
         self._demand.note_own(self._number, measured)
 
     def _receive(self, notice: Message) -> None:
-        match notice:
-            case DemandReport(host, number, demands):
-                self._demand.note_report(host, number, demands)
+        if isinstance(notice, DemandReport):
+            self._demand.note_report(*notice)
 
 
 def _differ(former: dict[str, float], measured: dict[str, float]) -> bool:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -5,7 +5,6 @@
 from typing import NamedTuple
 
 from wagtailline.ports import Address
-from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.model import Endpoint, Picture
 from wagtailline_sidecar.upstream import (
@@ -46,14 +45,12 @@
         address: Address,
         data_centre: str,
         parts: 'UpstreamParts',
-        clock: BootClock,
         observe: Callable[[NamedTuple], None],
     ) -> None:
         """Doubt the upstream until a health check."""
         self._address = address
         self._data_centre = data_centre
         self._parts = parts
-        self._clock = clock
         self._observe = observe
         self._endpoint: Endpoint | None = None
         self._health_path = _DEFAULT_HEALTH_PATH
@@ -99,7 +96,7 @@
             self.doubt('new_incarnation')
         service = picture.configuration.services.get(endpoint.service)
         if service is not None:
-            warm_up.set_rate(service.warm_up_rate)
+            warm_up.limit_rate(service.warm_up_rate)
             self._health_path = service.health_path
         if endpoint.warm_up_left_seconds > 0:
             warm_up.note_cold(endpoint.warm_up_left_seconds)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/notices.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/notices.py
@@ -42,16 +42,8 @@
     wait_seconds: float
 
 
-class CrashReport(NamedTuple):
-    """Digests of requests in progress when an upstream ended."""
-
-    host: str
-    digests: tuple[bytes, ...]
-
-
 NOTICE_KINDS: dict[int, type[Message]] = {
     80: DemandReport,
-    81: CrashReport,
     82: LoanRequest,
     83: LoanReply,
 }
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
@@ -95,7 +95,7 @@
         former = self._picture
         if former is not None and reading.revision < former.revision:
             return
-        if asked_at - self._confirmed_at > OUTAGE_SECONDS:
+        if former and asked_at - self._confirmed_at > OUTAGE_SECONDS:
             self._outage_ended_at = self._clock.boot()
         configuration = self._accept(reading.configuration)
         if configuration is None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -1,6 +1,6 @@
 """One rate and burst of a client account over all daemons."""
 
-from collections.abc import Awaitable, Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import NamedTuple
 
 from wagtailline.placement import owner
@@ -11,9 +11,11 @@
 
 # Daemons that were seen within this time still hold their shares.
 MEMBER_MEMORY_SECONDS = 30.0
-# Part of each limit that the daemons hold themselves, by demand. The rest is
-# at the account's home, for whoever has used up its own.
+# Part of a limit that the daemons hold themselves, by demand. The rest is at
+# the account's home, for whoever has used up its own.
 LOCAL_PART = 0.4
+# A limit whose equal shares are smaller than this is wholly at its home.
+_LEAST_SHARE_TOKENS = 1
 # A new home lends nothing while its predecessor may still lend.
 HOME_START_SECONDS = 3.0
 
@@ -26,8 +28,8 @@
     """
 
     window_seconds: float = 5.0
-    overage: float = 0.0
-    slack: float = 0.0
+    overage: float = 0
+    slack: float = 0
 
     def extend(self, account: ClientAccount) -> BucketLimit:
         """Return the limit of an account with the tolerance added."""
@@ -37,6 +39,41 @@
         )
 
 
+class Members:
+    """Daemons that hold a share of each limit."""
+
+    def __init__(self, clock: MonotonicClock) -> None:
+        """Know no daemon."""
+        self._clock = clock
+        self._seen: dict[str, float] = {}
+        self.present: tuple[str, ...] = ()
+
+    @property
+    def hosts(self) -> frozenset[str]:
+        """Return the hosts that were present a short time ago."""
+        return frozenset(self._seen)
+
+    def __len__(self) -> int:
+        """Return the number of daemons, at least this one."""
+        return max(len(self._seen), 1)
+
+    def note(self, hosts: set[str]) -> None:
+        """Take the daemons that are present now."""
+        now = self._clock.monotonic()
+        self.present = tuple(sorted(hosts))
+        self._seen.update(dict.fromkeys(hosts, now))
+        self._seen = {
+            host: seen
+            for host, seen in self._seen.items()
+            if now - seen < MEMBER_MEMORY_SECONDS
+        }
+
+    def local_part(self, limit: BucketLimit) -> float:
+        """Return the part of a limit that daemons hold themselves."""
+        smallest = limit.capacity * LOCAL_PART / len(self)
+        return LOCAL_PART if smallest >= _LEAST_SHARE_TOKENS else 0
+
+
 class Loan(NamedTuple):
     """What a home lends; ``wait_seconds`` tells when there is more."""
 
@@ -56,23 +93,23 @@
         host: str,
         clock: MonotonicClock,
         tolerance: Callable[[], Tolerance],
+        members: Members,
     ) -> None:
         """Lend nothing before the accounts are known."""
         self._host = host
+        self._members = members
         self._clock = clock
         self._tolerance = tolerance
         self._buckets: dict[str, TokenBucket] = {}
         self._accounts: Mapping[str, ClientAccount] = {}
 
-    def keep(
-        self, accounts: Mapping[str, ClientAccount], hosts: Collection[str]
-    ) -> None:
-        """Take the accounts in force, and the hosts among which homes lie."""
+    def keep(self, accounts: Mapping[str, ClientAccount]) -> None:
+        """Take the accounts in force; homes lie among present daemons."""
         start = self._clock.monotonic() + HOME_START_SECONDS
         former, self._buckets = self._buckets, {}
         self._accounts = accounts
         for name in accounts:
-            if owner(name, hosts) == self._host:
+            if owner(name, self._members.present) == self._host:
                 bucket = former.get(name) or TokenBucket(start)
                 self._buckets[name] = bucket
 
@@ -82,7 +119,7 @@
         if account is None or bucket is None:
             return Loan(0, HOME_START_SECONDS)
         whole = self._tolerance().extend(account)
-        part = 1 - LOCAL_PART
+        part = 1 - self._members.local_part(whole)
         limit = BucketLimit(whole.rate * part, whole.capacity * part)
         now = self._clock.monotonic()
         if now >= bucket.refilled_at:
@@ -106,37 +143,16 @@
         clock: MonotonicClock,
         tolerance: Callable[[], Tolerance],
         demand: Demand,
+        members: Members,
         borrow: Borrow,
     ) -> None:
-        """Know no daemon but this one."""
+        """Borrow from homes when the own part is used up."""
         self._clock = clock
         self._demand = demand
         self._tolerance = tolerance
         self._borrow = borrow
         self._buckets: dict[str, TokenBucket] = {}
-        self._members: dict[str, float] = {}
-        self._present: tuple[str, ...] = ()
-
-    @property
-    def members(self) -> int:
-        """Return the number of daemons that hold a share."""
-        return max(len(self._members), 1)
-
-    @property
-    def hosts(self) -> frozenset[str]:
-        """Return the hosts of the daemons that hold a share."""
-        return frozenset(self._members)
-
-    def note_members(self, hosts: set[str]) -> None:
-        """Take the daemons that are known now."""
-        now = self._clock.monotonic()
-        self._present = tuple(sorted(hosts))
-        self._members.update(dict.fromkeys(hosts, now))
-        self._members = {
-            host: seen
-            for host, seen in self._members.items()
-            if now - seen < MEMBER_MEMORY_SECONDS
-        }
+        self._members = members
 
     def keep(self, accounts: Mapping[str, ClientAccount]) -> None:
         """Drop the buckets of accounts that are gone, and begin new ones."""
@@ -155,7 +171,7 @@
         if bucket.take():
             return 0
         wait = bucket.wait_seconds(self._limit(account))
-        home = owner(account.name, self._present)
+        home = owner(account.name, self._members.present)
         if home is None:
             return wait
         loan = await self._borrow(home, account, 1)
@@ -174,15 +190,15 @@
 
     def describe(self, account: ClientAccount) -> str:
         """Return the figures behind a decision, for the log."""
-        share = self._demand.share(account.name, self._members)
+        share = self._demand.share(account.name, self._members.hosts)
         bucket = self._buckets.get(account.name)
         tokens = bucket.tokens if bucket else 0
-        return f'share={share:.3f} tokens={tokens:.1f} of={self.members}'
+        return f'share={share:.3f} tokens={tokens:.1f} of={len(self._members)}'
 
     def _limit(self, account: ClientAccount) -> BucketLimit:
         whole = self._tolerance().extend(account)
-        share = self._demand.share(account.name, self._members)
-        part = share * LOCAL_PART
+        share = self._demand.share(account.name, self._members.hosts)
+        part = share * self._members.local_part(whole)
         return BucketLimit(whole.rate * part, whole.capacity * part)
 
     def _refill(self, account: ClientAccount) -> TokenBucket:
@@ -190,6 +206,7 @@
         bucket = self._buckets.get(account.name)
         if bucket is None:
             # A full bucket at each start would add up over restarts.
-            bucket = self._buckets[account.name] = TokenBucket(now)
+            bucket = TokenBucket(now)
+            self._buckets[account.name] = bucket
         bucket.refill(now, self._limit(account))
         return bucket
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -183,5 +183,6 @@
     def _view(self, endpoint: Endpoint) -> _EndpointView:
         view = self._views.get(endpoint.identity)
         if view is None:
-            view = self._views[endpoint.identity] = _EndpointView()
+            view = _EndpointView()
+            self._views[endpoint.identity] = view
         return view
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -12,7 +12,7 @@
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.picture import PictureKeeper, Reading
 
-READ_PERIOD_SECONDS = 0.9
+READ_PERIOD_SECONDS = 1.2
 READ_TIMEOUT_SECONDS = 0.7
 # Readers that failed together must not come back together.
 RETRY_SECONDS = 0.15
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -59,6 +59,10 @@
     since: float
 
 
+def _ignore_failure(ended: ConnectionEnded) -> None:
+    """Drop the report when nobody observes failures."""
+
+
 class Upstream:
     """Connections to the upstream beside this daemon."""
 
@@ -67,13 +71,15 @@
         address: Address,
         names: HeaderNames,
         clock: BootClock,
-        observe: Callable[[ConnectionEnded], None],
     ) -> None:
-        """Open no connection before the first request."""
+        """Open no connection before the first request.
+
+        ``observe`` gets every failure of a connection.
+        """
         self._address = address
         self._names = names
         self._clock = clock
-        self._observe = observe
+        self.observe: Callable[[ConnectionEnded], None] = _ignore_failure
         self._idle: list[_Idle] = []
 
     async def run(
@@ -89,10 +95,10 @@
         try:
             answer = await self._exchange(sent, body)
         except ConnectionFailed:
-            self._observe(ConnectionEnded(is_refused=True))
+            self.observe(ConnectionEnded(is_refused=True))
             return Err(Refusal('upstream_unreachable', 'no'))
         except AnswerMissing:
-            self._observe(ConnectionEnded(is_refused=False))
+            self.observe(ConnectionEnded(is_refused=False))
             return Err(Refusal('upstream_reset', 'unknown'))
         except AnswerMalformed:
             return Err(Refusal('upstream_malformed', 'unknown'))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
@@ -2,8 +2,6 @@
 
 from wagtailline.ports import MonotonicClock
 
-# An upstream that served nothing for this long may have become cold.
-IDLE_SECONDS = 2.0
 # Rate until the configuration is known, in requests per second.
 UNKNOWN_RATE = 2.0
 # Requests above the rate that may start at once, as a part of a second.
@@ -24,7 +22,6 @@
         self._tokens = float(1)
         self._refilled_at: float | None = None
         self._cold_until = float('-inf')
-        self._started_at = float('-inf')
         self.is_doubtful = True
 
     @property
@@ -42,7 +39,7 @@
         left = max(self._cold_until - self._clock.monotonic(), 0)
         return f'{state}:{left:.1f}s:{self._tokens:.1f}of{self._rate:g}'
 
-    def set_rate(self, requests_per_second: float) -> None:
+    def limit_rate(self, requests_per_second: float) -> None:
         """Take the rate that a cold upstream bears; 0 means any."""
         self._rate = requests_per_second
 
@@ -60,11 +57,6 @@
         """Treat the upstream as cold until it is confirmed warm."""
         self.is_doubtful = True
 
-    def doubt_after_idleness(self) -> None:
-        """Doubt an upstream that has served nothing for a while."""
-        if self._clock.monotonic() - self._started_at > IDLE_SECONDS:
-            self.is_doubtful = True
-
     def take(self) -> float:
         """Take the right to start a request, or return the wait for it."""
         now = self._clock.monotonic()
@@ -72,7 +64,6 @@
         if self.is_cold and self._tokens < 1:
             return (1 - self._tokens) / self._rate
         self._tokens = max(self._tokens - 1, 0)
-        self._started_at = now
         return 0
 
     def wait_seconds(self, starts: int) -> float:
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/_fixtures.py
@@ -0,0 +1,87 @@
+"""Configurations, endpoints and clocks for the tests."""
+
+from wagtailline.ports import Address
+from wagtailline_sidecar.model import (
+    ClientAccount,
+    Configuration,
+    Endpoint,
+    IngressLimits,
+    Picture,
+    RequestKind,
+    Route,
+    Service,
+    Share,
+)
+
+HOST = 'desk.example'
+
+
+class FakeClock:
+    """Clock that the test moves."""
+
+    def __init__(self, now: float = 100) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def boot(self) -> float:
+        return self.now
+
+
+def make_route(name: str = 'status', **changes: object) -> Route:
+    route = Route(
+        name=name,
+        host=HOST,
+        prefix='/status/',
+        kind=RequestKind.SAFE,
+        shares=(Share('desk', 1),),
+        timeout_seconds=1.0,
+        target_seconds=0.5,
+        max_attempts=2,
+        priority=1,
+        is_public=False,
+    )
+    return route._replace(**changes)
+
+
+def make_account(name: str = 'studio', **changes: object) -> ClientAccount:
+    account = ClientAccount(name, frozenset({f'{name}-key'}), 10, 10, None)
+    return account._replace(**changes)
+
+
+def make_configuration(
+    *routes: Route, version: int = 1, accounts: tuple[ClientAccount, ...] = ()
+) -> Configuration:
+    return Configuration(
+        version=version,
+        routes=routes or (make_route(),),
+        services={
+            'desk': Service('desk', '/health', 100, 3.0, 6.0),
+            'vault': Service('vault', '/health', 100, 3.0, 6.0),
+        },
+        accounts={account.name: account for account in accounts},
+        limits=IngressLimits(),
+    )
+
+
+def make_endpoint(identity: str = 'e1', **changes: object) -> Endpoint:
+    endpoint = Endpoint(
+        identity=identity,
+        service='desk',
+        address=Address('10.0.0.1', 8000),
+        data_centre='oslo-a',
+        slots=2,
+        is_ready=True,
+        warm_up_left_seconds=0,
+        started_ms=1,
+    )
+    return endpoint._replace(**changes)
+
+
+def make_picture(
+    *endpoints: Endpoint,
+    configuration: Configuration | None = None,
+    closed: frozenset[str] = frozenset(),
+) -> Picture:
+    return Picture(1, configuration or make_configuration(), endpoints, closed)
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/_quota_fleet.py
@@ -0,0 +1,102 @@
+"""Daemons of one fleet that share the limits of accounts, on one clock."""
+
+from random import Random
+
+from _fixtures import FakeClock
+
+from wagtailline_sidecar.demand import Demand
+from wagtailline_sidecar.quotas import Homes, Loan, Members, Quotas, Tolerance
+
+REPORT_SECONDS = 2.5
+
+
+class Member:
+    """One daemon: its quotas, its home buckets and its reports."""
+
+    def __init__(self, fleet: 'QuotaFleet', host: str) -> None:
+        self.fleet = fleet
+        self.host = host
+        clock = fleet.clock
+        self.demand = Demand(host, clock)
+        self.members = Members(clock)
+        self.homes = Homes(host, clock, lambda: fleet.tolerance, self.members)
+        self.quotas = Quotas(
+            clock,
+            lambda: fleet.tolerance,
+            self.demand,
+            self.members,
+            self.borrow,
+        )
+        self.reported_at = clock.now - fleet.random.random() * REPORT_SECONDS
+
+    def follow(self) -> None:
+        accounts = {one.name: one for one in self.fleet.accounts}
+        self.members.note(set(self.fleet.members))
+        self.quotas.keep(accounts)
+        self.homes.keep(accounts)
+
+    async def borrow(self, host, account, tokens) -> Loan | None:
+        if not self.fleet.can_reach(self.host, host):
+            return None
+        return self.fleet.members[host].homes.lend(account.name, tokens)
+
+
+class QuotaFleet:
+    """Steps the clock and counts what was admitted, and when."""
+
+    def __init__(self, size: int, accounts, tolerance: Tolerance, seed: int):
+        self.random = Random(seed)
+        self.clock = FakeClock()
+        self.accounts = accounts
+        self.tolerance = tolerance
+        self.cut: set[str] = set()
+        self.members: dict[str, Member] = {}
+        for number in range(size):
+            host = f'10.0.0.{number}'
+            self.members[host] = Member(self, host)
+        self.admitted: dict[str, list[float]] = {}
+        self.refused: dict[str, int] = {}
+        self.follow()
+
+    def follow(self) -> None:
+        for member in self.members.values():
+            member.follow()
+
+    def restart(self, host: str) -> None:
+        self.members[host] = Member(self, host)
+        self.members[host].follow()
+
+    def can_reach(self, one: str, other: str) -> bool:
+        return (one in self.cut) == (other in self.cut)
+
+    async def request(self, host: str, account) -> bool:
+        wait = await self.members[host].quotas.take(account)
+        if wait > 0:
+            self.refused[account.name] = self.refused.get(account.name, 0) + 1
+            return False
+        self.admitted.setdefault(account.name, []).append(self.clock.now)
+        return True
+
+    def step(self, seconds: float) -> None:
+        self.clock.now += seconds
+        for host, member in self.members.items():
+            if self.clock.now - member.reported_at >= REPORT_SECONDS:
+                self.report(host, member)
+
+    def report(self, host: str, member: Member) -> None:
+        member.reported_at = self.clock.now
+        measured = member.demand.measure()
+        number = int(self.clock.now * 1000)
+        member.demand.note_own(number, measured)
+        for other, receiver in self.members.items():
+            if other != host and self.can_reach(host, other):
+                receiver.demand.note_report(host, number, measured)
+
+    def most_in_window(self, name: str, seconds: float) -> int:
+        times = self.admitted.get(name, [])
+        most = start = 0
+        for end, time in enumerate(times):
+            while times[start] < time - seconds:
+                start += 1
+            most = max(most, end - start + 1)
+        return most
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_routing.py
@@ -0,0 +1,58 @@
+"""Routes, keys and splits."""
+
+from random import Random
+
+from _fixtures import HOST, make_account, make_configuration, make_route
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wagtailline_sidecar.model import Share
+from wagtailline_sidecar.routing import RouteTable, Splitter
+
+
+def test_longest_prefix_wins():
+    """Guards against a request that goes to the route above its own."""
+    table = RouteTable(
+        make_configuration(
+            make_route('a', prefix='/a/'), make_route('b', prefix='/a/b/')
+        )
+    )
+    assert table.find_route(HOST, '/a/b/c?x=/a/').name == 'b'
+    assert table.find_route(HOST, '/a/bc').name == 'a'
+    assert table.find_route(f'{HOST.upper()}:80', '/a/').name == 'a'
+    assert table.find_route(HOST, '/a') is None
+    assert table.find_route('other.example', '/a/') is None
+
+
+def test_key_names_its_account():
+    """Guards against a key that is taken for another account's."""
+    accounts = (make_account('one'), make_account('two'))
+    table = RouteTable(make_configuration(accounts=accounts))
+    assert table.find_account('two-key').name == 'two'
+    assert table.find_account('three-key') is None
+
+
+@given(
+    weights=st.lists(st.integers(1, 100), min_size=2, max_size=4),
+    seed=st.integers(0, 1000),
+)
+def test_split_is_exact_over_200_requests(weights, seed):
+    """Guards against shares that drift off their weights."""
+    shares = tuple(
+        Share(f's{number}', weight) for number, weight in enumerate(weights)
+    )
+    route = make_route(shares=shares)
+    splitter = Splitter(Random(seed))
+    chosen = [splitter.choose(route) for _ in range(200)]
+    for share in shares:
+        expected = share.weight / sum(weights)
+        assert abs(chosen.count(share.service) / 200 - expected) < 0.02
+
+
+def test_changed_weights_start_anew():
+    """Guards against a service that a new version took out of a split."""
+    splitter = Splitter(Random(1))
+    both = make_route(shares=(Share('desk', 1), Share('vault', 1)))
+    splitter.choose(both)
+    one = make_route(shares=(Share('desk', 1), Share('other', 1)))
+    assert {splitter.choose(one) for _ in range(10)} == {'desk', 'other'}
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_selection.py
@@ -0,0 +1,112 @@
+"""Choice of an endpoint."""
+
+from collections import Counter
+from random import Random
+
+from _fixtures import FakeClock, make_endpoint, make_picture, make_route
+
+from wagtailline.ports import Address
+from wagtailline_sidecar.selection import (
+    MAX_HOLD_OFF_SECONDS,
+    Distance,
+    Selector,
+)
+
+NEAR = make_endpoint('near', address=Address('10.0.0.1', 80))
+NEXT = make_endpoint('next', address=Address('10.0.0.2', 80))
+FAR = make_endpoint(
+    'far', address=Address('10.0.1.1', 80), data_centre='oslo-b'
+)
+ROUTE = make_route()
+
+
+def make_selector(clock=None) -> Selector:
+    return Selector(clock or FakeClock(), Random(1), 'oslo-a', Distance())
+
+
+def choose(selector, picture, tried=frozenset(), route=ROUTE):
+    endpoint = selector.choose(picture, route, 'desk', tried)
+    return endpoint and endpoint.identity
+
+
+def test_own_data_centre_first():
+    """Guards against bytes between data centres without need."""
+    selector = make_selector()
+    picture = make_picture(NEAR, FAR)
+    assert {choose(selector, picture) for _ in range(20)} == {'near'}
+
+
+def test_spills_over_when_the_wait_is_long():
+    """Guards against a queue at home while another data centre is free."""
+    selector = make_selector()
+    selector.note_answer(NEAR, ROUTE, 0.15, 0, True)
+    selector.note_wait(NEAR, 2.0)
+    assert choose(selector, make_picture(NEAR, FAR)) == 'far'
+
+
+def test_leaving_endpoints_and_closed_data_centres_get_nothing():
+    """Guards against new work for what is being emptied."""
+    selector = make_selector()
+    leaving = NEAR._replace(is_ready=False)
+    picture = make_picture(leaving, FAR, closed=frozenset({'oslo-b'}))
+    assert choose(selector, picture) is None
+
+
+def test_unreachable_endpoint_is_held_off_and_tried_again():
+    """Guards against requests that wait for a VM that is gone."""
+    clock = FakeClock()
+    selector = make_selector(clock)
+    picture = make_picture(NEAR, FAR)
+    for _ in range(10):
+        selector.note_failure(NEAR)
+    assert choose(selector, picture) == 'far'
+    clock.now += MAX_HOLD_OFF_SECONDS + 0.1
+    assert choose(selector, picture) == 'near'
+
+
+def test_last_endpoint_is_used_in_spite_of_a_hold_off():
+    """Guards against a refusal while one endpoint may answer."""
+    selector = make_selector()
+    selector.note_failure(NEAR)
+    assert choose(selector, make_picture(NEAR)) == 'near'
+
+
+def test_slow_endpoint_gets_less():
+    """Guards against an equal split over endpoints of unequal speed."""
+    selector = make_selector()
+    for _ in range(100):
+        selector.note_answer(NEAR, ROUTE, 0.1, 0, True)
+        selector.note_answer(NEXT, ROUTE, 0.4, 0, True)
+    picture = make_picture(NEAR, NEXT)
+    chosen = Counter(choose(selector, picture) for _ in range(20))
+    assert chosen['near'] == 20
+
+
+def test_outstanding_requests_count():
+    """Guards against a fast endpoint that gets every request at once."""
+    selector = make_selector()
+    picture = make_picture(NEAR, NEXT)
+    chosen = Counter()
+    for _ in range(40):
+        endpoint = selector.choose(picture, ROUTE, 'desk', frozenset())
+        selector.note_sent(endpoint)
+        chosen[endpoint.identity] += 1
+    assert min(chosen.values()) >= 15
+
+
+def test_endpoint_that_fails_a_part_gets_less():
+    """Guards against an endpoint that fails fast and so looks fast."""
+    selector = make_selector()
+    for _ in range(40):
+        selector.note_answer(NEAR, ROUTE, 0.1, 0, True)
+        selector.note_answer(NEXT, ROUTE, 0.01, 0, False)
+    assert choose(selector, make_picture(NEAR, NEXT)) == 'near'
+
+
+def test_large_answers_stay_at_home():
+    """Guards against downloads that cross for a small gain."""
+    selector = make_selector()
+    selector.note_size(ROUTE, 90_000)
+    selector.note_answer(NEAR, ROUTE, 0.15, 0, True)
+    selector.note_wait(NEAR, 2.0)
+    assert choose(selector, make_picture(NEAR, FAR)) == 'near'
