Close idle connections without an answer, count an unfinished header

Cause: tests over loopback: an idle connection of a client got a 408, which a client may read as the answer to its next request, and a header without an end in the first read was not counted against the limit of the head. Change: the connection knows whether it is within a head, and counts the rest of a read that the parser keeps.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -63,6 +63,8 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
         self._unparsed_bytes = 0
+        self._is_in_head = False
+        self._completed = 0
         self._is_stopped = False
         self.is_closing = False
 
@@ -72,8 +74,8 @@
         return not (
             self._exchanges
             or self._waiting
-            or self._headers
-            or self._unparsed_bytes
+            or self._is_in_head
+            or self._body is not None
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -99,15 +101,19 @@
         """Parse bytes; those behind an error are ignored."""
         if self._is_stopped:
             return
-        self._unparsed_bytes += len(data)
+        noted, completed = self._head_bytes, self._completed
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(_BAD_REQUEST)
         except httptools.HttpParserError:
             self._refuse(_BAD_REQUEST)
-        limit = self._limits().head_bytes
-        if self._unparsed_bytes > limit or self._head_bytes > limit:
+        if self._is_in_head and completed == self._completed:
+            # The parser keeps an unfinished field to itself.
+            parsed = self._head_bytes - noted
+            self._unparsed_bytes += max(len(data) - parsed, 0)
+        received = self._head_bytes + self._unparsed_bytes
+        if self._is_in_head and received > self._limits().head_bytes:
             self._refuse(_HEAD_TOO_LARGE)
 
     def pause_writing(self) -> None:
@@ -135,7 +141,9 @@
         self._url = b''
         self._headers = []
         self._head_bytes = 0
-        if self.is_idle or not self._exchanges:
+        self._unparsed_bytes = 0
+        self._is_in_head = True
+        if not self._exchanges:
             self._arm(self._limits().head_timeout_seconds)
 
     def on_url(self, url: bytes) -> None:
@@ -152,6 +160,7 @@
     def on_headers_complete(self) -> None:
         """Start the request unless its head is not acceptable."""
         self._unparsed_bytes = 0
+        self._is_in_head = False
         status = self._check_head()
         if status:
             self._refuse(status)
@@ -174,7 +183,6 @@
 
     def on_body(self, content: bytes) -> None:
         """Take a part of a body."""
-        self._unparsed_bytes = 0
         if self._body is None:
             return
         self._body.feed(content)
@@ -183,8 +191,8 @@
 
     def on_message_complete(self) -> None:
         """End a request's body."""
-        self._unparsed_bytes = 0
         self._head_bytes = 0
+        self._completed += 1
         if self._body is not None:
             self._body.finish()
         self._body = None
@@ -297,7 +305,7 @@
             self._timer = None
 
     def _expire(self) -> None:
-        if self._headers or self._unparsed_bytes or self._url:
+        if self._is_in_head:
             self._refuse(_REQUEST_TIMEOUT)
         else:
             self.close()
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/_peers.py
@@ -0,0 +1,69 @@
+"""Raw TCP clients and servers for tests over loopback."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from wagtailline.ports import Address
+from wagtailline_sidecar.http_listener import HttpListener
+from wagtailline_sidecar.model import IngressLimits
+
+HOST = '127.0.0.1'
+READ_TIMEOUT_SECONDS = 5
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class RawClient:
+    """Client that writes and reads bytes as the test says."""
+
+    def __init__(self, reader, writer) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    def send(self, content: bytes) -> None:
+        self.writer.write(content)
+
+    async def read_until(self, mark: bytes) -> bytes:
+        async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+            return await self.reader.readuntil(mark)
+
+    async def read_answer(self) -> tuple[int, dict[str, str], bytes]:
+        head = (await self.read_until(b'\r\n\r\n')).decode()
+        line, *rows = head.strip().split('\r\n')
+        headers = dict(row.lower().split(': ', 1) for row in rows)
+        length = int(headers.get('content-length', 0))
+        async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+            body = await self.reader.readexactly(length)
+        return int(line.split()[1]), headers, body
+
+    async def read_rest(self) -> bytes:
+        async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+            return await self.reader.read()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+async def connect(port: int, host: str = HOST) -> RawClient:
+    return RawClient(*await asyncio.open_connection(host, port))
+
+
+async def serve_script(script: Script) -> tuple[asyncio.Server, Address]:
+    """Run the script for each connection to a free port."""
+    server = await asyncio.start_server(script, HOST, 0)
+    return server, Address(HOST, server.sockets[0].getsockname()[1])
+
+
+async def listen(handler, limits=None) -> tuple[HttpListener, int]:
+    """Listen with a handler at a free port."""
+    listener = HttpListener(
+        Address(HOST, 0), handler, lambda: limits or IngressLimits()
+    )
+    await listener.start()
+    port = listener._server.sockets[0].getsockname()[1]
+    return listener, port
+
+
+async def read_head(reader: asyncio.StreamReader) -> bytes:
+    async with asyncio.timeout(READ_TIMEOUT_SECONDS):
+        return await reader.readuntil(b'\r\n\r\n')
