--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -2,12 +2,19 @@
 
 from typing import NamedTuple
 
+from wagtailline.messages import (
+    PROTOCOL_VERSION,
+    PURPOSE_CALLS,
+    PURPOSE_CONTROL,
+    Hello,
+)
 from wagtailline_sidecar._compose_base import Base
 from wagtailline_sidecar.daemon_events import HandlerFailed
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
-from wagtailline_sidecar.peer_calls import PeerCalls
+from wagtailline_sidecar.peer_calls import PeerCalls, Peers
+from wagtailline_sidecar.picture_exchange import PictureExchange
 from wagtailline_sidecar.settings import parse_address
 from wagtailline_sidecar.upstream import Upstream
 from wagtailline_sidecar.warm_up import WarmUp
@@ -18,7 +25,9 @@
 
     gate: Gate
     local: LocalUpstream
-    peers: PeerCalls
+    peers: Peers
+    calls: PeerCalls
+    pictures: PictureExchange
 
 
 def build_gate_side(base: Base) -> GateSide:
@@ -36,13 +45,33 @@
     )
     upstream.observe = local.note_connection
     base.keeper.subscribe(local.follow)
-    peers = PeerCalls(
+    peers = _build_peers(base)
+    calls = PeerCalls(
         settings.vm,
-        settings.data_centre,
-        parse_address(settings.peers),
-        base.incarnation,
+        peers,
         GateService(gate, upstream, local, base.clock, observe),
-        base.report_fault,
         lambda error: observe(HandlerFailed(repr(error))),
     )
-    return GateSide(gate, local, peers)
+    pictures = PictureExchange(
+        base.keeper,
+        peers.transport,
+        peers.introduce(PURPOSE_CONTROL),
+        peers.find_address,
+        base.clock.boot,
+    )
+    peers.serve(calls.server, pictures)
+    return GateSide(gate, local, peers, calls, pictures)
+
+
+def _build_peers(base: Base) -> Peers:
+    settings = base.settings
+    address = parse_address(settings.peers)
+    hello = Hello(
+        PROTOCOL_VERSION,
+        settings.vm,
+        address.host,
+        settings.data_centre,
+        base.incarnation,
+        PURPOSE_CALLS,
+    )
+    return Peers(hello, address, base.report_fault)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -3,7 +3,7 @@
 from wagtailline.kernel import Kernel
 from wagtailline.ports import Address
 from wagtailline_sidecar._compose_base import Base, build_base
-from wagtailline_sidecar._compose_gate import build_gate_side
+from wagtailline_sidecar._compose_gate import GateSide, build_gate_side
 from wagtailline_sidecar._compose_ingress import (
     build_ingress,
     build_quota_side,
@@ -11,7 +11,7 @@
 from wagtailline_sidecar.daemon import Daemon, Readiness
 from wagtailline_sidecar.http_listener import HttpListener
 from wagtailline_sidecar.settings import parse_address
-from wagtailline_sidecar.source_reader import Source, SourceReader
+from wagtailline_sidecar.source_reader import Place, Source, SourceReader
 from wagtailline_sidecar.status_pages import answer_metrics, answer_readiness
 
 __all__ = ('Base', 'build_base', 'build_daemon')
@@ -22,18 +22,13 @@
     quota_side = build_quota_side(base)
     gate_side = build_gate_side(base)
     readiness = Readiness(base.keeper)
-    ingress = build_ingress(base, gate_side.peers, quota_side)
+    ingress = build_ingress(base, gate_side.calls, quota_side)
     services: dict[str, object] = {
         'settings': base.watch,
-        'source_reader': SourceReader(
-            source,
-            base.keeper,
-            base.clock,
-            base.random,
-            base.telemetry.observe,
-        ),
+        'source_reader': _build_reader(base, source, gate_side),
         'local_upstream': gate_side.local,
         'peers': gate_side.peers,
+        'peer_calls': gate_side.calls,
         'notices': quota_side.notices,
         'demand_reporter': quota_side.reporter,
         'ingress': ingress,
@@ -47,12 +42,27 @@
         kernel,
         base.telemetry,
         gate_side.gate,
-        gate_side.peers,
+        gate_side.calls,
         ingress,
         readiness,
     )
 
 
+def _build_reader(
+    base: Base, source: Source, gate_side: GateSide
+) -> SourceReader:
+    settings = base.settings
+    return SourceReader(
+        source,
+        base.keeper,
+        gate_side.pictures.ask,
+        Place(parse_address(settings.peers).host, settings.data_centre),
+        base.clock,
+        base.random,
+        base.telemetry.observe,
+    )
+
+
 def _build_status_listeners(
     base: Base, readiness: Readiness
 ) -> dict[str, object]:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
@@ -45,7 +45,7 @@
     kernel: Kernel
     telemetry: Telemetry
     gate: Gate
-    peers: PeerCalls
+    calls: PeerCalls
     ingress: HttpListener
     readiness: Readiness
 
@@ -69,7 +69,7 @@
                 await self._finish()
         self.telemetry.observe(
             DaemonStopped(
-                settings.vm, self.ingress.in_progress, self.peers.in_progress
+                settings.vm, self.ingress.in_progress, self.calls.in_progress
             )
         )
         await self.kernel.stop()
@@ -78,6 +78,6 @@
         await asyncio.sleep(_LEAVE_SECONDS)
         self.ingress.close_idle()
         while True:
-            if not (self.ingress.in_progress or self.peers.in_progress):
+            if not (self.ingress.in_progress or self.calls.in_progress):
                 return
             await asyncio.sleep(_FINISH_POLL_SECONDS)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
@@ -1,5 +1,6 @@
-"""Calls between the daemons: the gate of each VM by its host."""
+"""Connections between the daemons: calls to gates, and pictures."""
 
+import asyncio
 from collections.abc import Callable
 
 from result import Result
@@ -19,65 +20,114 @@
     CONNECTION_KINDS,
     PROTOCOL_VERSION,
     PURPOSE_CALLS,
+    PURPOSE_CONTROL,
     Hello,
 )
-from wagtailline.ports import Address, Listener
-from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
+from wagtailline.ports import Address, Channel, Listener
+from wagtailline.streams import StreamTransport
+from wagtailline_sidecar.picture_exchange import (
+    PICTURE_KINDS,
+    PictureExchange,
+)
 
 # A peer in the same region answers within milliseconds.
 DIAL_TIMEOUT_SECONDS = 0.3
+HELLO_TIMEOUT_SECONDS = 2.0
 
 
-class PeerCalls:
-    """Service that runs calls of peers, and sends calls to them."""
+class Peers:
+    """Service that listens for peers, and finds them by their host."""
 
     def __init__(
         self,
-        vm: str,
-        data_centre: str,
+        hello: Hello,
         address: Address,
-        incarnation: int,
-        gate: CallHandler,
         observe_fault: Callable[[FrameFault], None],
-        observe_error: Callable[[Exception], None],
     ) -> None:
-        """Serve the local gate at an address."""
-        self._address = address
-        self._gate = gate
-        hello = Hello(
-            PROTOCOL_VERSION,
-            vm,
-            address.host,
-            data_centre,
-            incarnation,
-            PURPOSE_CALLS,
-        )
-        self._transport = StreamTransport(
-            Codec({**CONNECTION_KINDS, **CALL_KINDS}),
+        """Listen after the start; the port is the same on all VMs.
+
+        ``hello`` introduces this daemon and is sent for every purpose.
+        """
+        self.address = address
+        self.transport = StreamTransport(
+            Codec({**CONNECTION_KINDS, **CALL_KINDS, **PICTURE_KINDS}),
             observe_fault,
-            MAX_CALL_FRAME_BYTES,
-            DIAL_TIMEOUT_SECONDS,
+            dial_timeout_seconds=DIAL_TIMEOUT_SECONDS,
         )
-        self._server = CallServer(gate, hello, observe_error)
-        self._client = CallClient(self._transport, hello, self._find_address)
-        self._vm = vm
+        self._hello = hello
+        self._calls: CallServer | None = None
+        self._pictures: PictureExchange | None = None
         self._listener: Listener | None = None
 
-    @property
-    def in_progress(self) -> int:
-        """Return the number of calls of peers that have not ended."""
-        return self._server.in_progress
+    def introduce(self, purpose: str) -> Hello:
+        """Return the first message of a connection."""
+        return self._hello._replace(purpose=purpose)
+
+    def find_address(self, host: str) -> Address:
+        """Return where the daemon of a host listens."""
+        return Address(host, self.address.port)
+
+    def serve(self, calls: CallServer, pictures: PictureExchange) -> None:
+        """Take the servers of both purposes before the start."""
+        self._calls = calls
+        self._pictures = pictures
 
     async def start(self) -> None:
         """Listen; raise OSError when the address is taken."""
-        self._listener = await self._transport.serve(
-            self._address, self._server.accept
-        )
+        self._listener = await self.transport.serve(self.address, self._accept)
 
     async def stop(self) -> None:
-        """Take no new connections and end those to peers."""
+        """Take no new connections."""
         if self._listener is not None:
             await self._listener.close()
+
+    async def _accept(self, channel: Channel) -> None:
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
+                hello = await channel.receive()
+        except TimeoutError:
+            return channel.close()
+        match hello:
+            case Hello(protocol=version) if version != PROTOCOL_VERSION:
+                return channel.close()
+            case Hello(purpose=purpose) if purpose == PURPOSE_CALLS:
+                if self._calls is not None:
+                    await self._calls.serve(channel)
+            case Hello(purpose=purpose) if purpose == PURPOSE_CONTROL:
+                if self._pictures is not None:
+                    await self._pictures.serve(channel)
+            case _:
+                channel.close()
+
+
+class PeerCalls:
+    """Call handler that finds the gate of a call by its host."""
+
+    def __init__(
+        self,
+        vm: str,
+        peers: Peers,
+        gate: CallHandler,
+        observe_error: Callable[[Exception], None],
+    ) -> None:
+        """Run calls to this host at the local gate."""
+        self._vm = vm
+        self._host = peers.address.host
+        self._gate = gate
+        hello = peers.introduce(PURPOSE_CALLS)
+        self.server = CallServer(gate, hello, observe_error)
+        self._client = CallClient(peers.transport, hello, peers.find_address)
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of calls of peers that have not ended."""
+        return self.server.in_progress
+
+    async def start(self) -> None:
+        """Connect at the first call to a host."""
+
+    async def stop(self) -> None:
+        """End the connections to peers."""
         await self._client.close()
 
     async def __call__(
@@ -85,10 +135,6 @@
     ) -> Result[Answer, Refusal]:
         """Run a call at the gate of the host that the request names."""
         request = request._replace(sender=self._vm)
-        if request.endpoint == self._address.host:
+        if request.endpoint == self._host:
             return await self._gate(request, body)
         return await self._client(request, body)
-
-    def _find_address(self, host: str) -> Address:
-        """Return where a gate listens: the port is the same on all VMs."""
-        return Address(host, self._address.port)
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
@@ -0,0 +1,199 @@
+"""Daemons of one data centre pass on the picture that one of them read."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import NamedTuple
+
+import msgspec
+
+from wagtailline.codec import Message
+from wagtailline.messages import Hello
+from wagtailline.ports import (
+    Address,
+    Channel,
+    ChannelClosed,
+    DialFailed,
+    Transport,
+)
+from wagtailline_sidecar.model import Configuration, Endpoint, Picture
+from wagtailline_sidecar.picture import PictureKeeper, Reading
+
+# A peer in the same data centre answers within milliseconds.
+ANSWER_TIMEOUT_SECONDS = 0.25
+_MILLISECONDS = 1000
+_DIGEST_BYTES = 8
+_NO_DIGEST = b''
+
+
+class PictureRequest(NamedTuple):
+    """Asks for what differs from the version and endpoints that are known."""
+
+    number: int
+    version: int
+    endpoints_digest: bytes
+
+
+class PictureReply(NamedTuple):
+    """The picture of a peer, and how long ago it was known to be current.
+
+    ``configuration`` and ``endpoints`` are empty when the asker has them.
+    """
+
+    number: int
+    age_ms: int
+    revision: int
+    configuration: bytes
+    endpoints: bytes
+    endpoints_digest: bytes
+    closed_data_centres: tuple[str, ...]
+
+
+PICTURE_KINDS: dict[int, type[Message]] = {
+    84: PictureRequest,
+    85: PictureReply,
+}
+
+_CONFIGURATIONS = msgspec.msgpack.Decoder(Configuration)
+_ENDPOINTS = msgspec.msgpack.Decoder(tuple[Endpoint, ...])
+
+
+class Asked(NamedTuple):
+    """A reading that a peer passed on, and when it was current."""
+
+    reading: Reading
+    current_at: float
+
+
+class PictureExchange:
+    """Asks peers for their picture and answers what they ask."""
+
+    def __init__(
+        self,
+        keeper: PictureKeeper,
+        transport: Transport,
+        hello: Hello,
+        find_address: Callable[[str], Address],
+        boot: Callable[[], float],
+    ) -> None:
+        """Introduce itself by ``hello``, whose purpose is control."""
+        self._keeper = keeper
+        self._transport = transport
+        self._hello = hello
+        self._find_address = find_address
+        self._boot = boot
+        self._numbers = itertools.count(1)
+        self._channels: dict[str, Channel] = {}
+        self._encoded: tuple[Configuration | None, bytes] = (None, b'')
+
+    async def ask(self, host: str) -> Asked | None:
+        """Return the picture of a peer; None when it has none to give."""
+        asked_at = self._boot()
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+                reply = await self._exchange(host)
+        except (TimeoutError, ChannelClosed, DialFailed):
+            self._drop(host)
+            return None
+        if reply is None or reply.age_ms < 0:
+            return None
+        current_at = asked_at - reply.age_ms / _MILLISECONDS
+        try:
+            return Asked(self._decode(reply), current_at)
+        except msgspec.DecodeError:
+            self._drop(host)
+            return None
+
+    async def serve(self, channel: Channel) -> None:
+        """Answer the requests of one peer until its connection ends."""
+        await channel.send(self._hello)
+        while True:
+            request = await channel.receive()
+            if not isinstance(request, PictureRequest):
+                return channel.close()
+            await channel.send(self._answer(request))
+
+    async def _exchange(self, host: str) -> PictureReply | None:
+        channel = self._channels.get(host) or await self._open(host)
+        number = next(self._numbers)
+        picture = self._keeper.current
+        version, digest = 0, _NO_DIGEST
+        if picture is not None:
+            version = picture.configuration.version
+            digest = digest_endpoints(picture.endpoints)
+        await channel.send(PictureRequest(number, version, digest))
+        while True:
+            reply = await channel.receive()
+            if not isinstance(reply, PictureReply):
+                raise ChannelClosed
+            if reply.number == number:
+                return reply
+
+    async def _open(self, host: str) -> Channel:
+        channel = await self._transport.dial(self._find_address(host))
+        self._channels[host] = channel
+        await channel.send(self._hello)
+        await channel.receive()
+        return channel
+
+    def _drop(self, host: str) -> None:
+        channel = self._channels.pop(host, None)
+        if channel is not None:
+            channel.close()
+
+    def _answer(self, request: PictureRequest) -> PictureReply:
+        picture = self._keeper.current
+        if picture is None:
+            return PictureReply(request.number, -1, 0, b'', b'', b'', ())
+        configuration = b''
+        if request.version != picture.configuration.version:
+            configuration = self._encode(picture)
+        digest = digest_endpoints(picture.endpoints)
+        endpoints = b''
+        if request.endpoints_digest != digest:
+            endpoints = msgspec.msgpack.encode(picture.endpoints)
+        return PictureReply(
+            request.number,
+            max(int(self._keeper.age_seconds * _MILLISECONDS) + 1, 0),
+            picture.revision,
+            configuration,
+            endpoints,
+            digest,
+            tuple(sorted(picture.closed_data_centres)),
+        )
+
+    def _encode(self, picture: Picture) -> bytes:
+        configuration, encoded = self._encoded
+        if configuration is not picture.configuration:
+            encoded = msgspec.msgpack.encode(picture.configuration)
+            self._encoded = (picture.configuration, encoded)
+        return encoded
+
+    def _decode(self, reply: PictureReply) -> Reading:
+        configuration = None
+        if reply.configuration:
+            configuration = _CONFIGURATIONS.decode(reply.configuration)
+        picture = self._keeper.current
+        endpoints = picture.endpoints if picture else ()
+        if reply.endpoints:
+            endpoints = _ENDPOINTS.decode(reply.endpoints)
+        return Reading(
+            reply.revision,
+            configuration,
+            endpoints,
+            frozenset(reply.closed_data_centres),
+        )
+
+
+def digest_endpoints(endpoints: tuple[Endpoint, ...]) -> bytes:
+    """Return a digest of what decides about endpoints.
+
+    The rest of a warm-up changes all the time and matters only to the gate
+    beside the endpoint, which asks for its health.
+    """
+    digest = blake2b(digest_size=_DIGEST_BYTES)
+    for endpoint in sorted(endpoints):
+        fixed = endpoint._replace(warm_up_left_seconds=0)
+        digest.update(msgspec.msgpack.encode(fixed))
+    return digest.digest()
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -37,12 +37,10 @@
 
 async def test_pipelined_safe_requests_run_at_once():
     """Guards against a slow request that holds up those behind it."""
-    running = []
+    together = asyncio.Barrier(3)
 
     async def answer(request, exchange):
-        running.append(request.target)
-        while len(running) < 3:
-            await asyncio.sleep(0.005)
+        await together.wait()
         await exchange.respond(200, (), b'')
 
     listener, port = await listen(answer)
