Bound the wait at the gate by the target, refill homes at a restart

Change: a request waits only while its target can be met; a slot needs 0.6 of the usual service time left; a restarted daemon refills its homes from empty at once; 1.2 of the warm-up rate is used (the bound is at 1.5 plus slack).

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -21,7 +21,7 @@
 
 
 class Admitted(NamedTuple):
-    """A request that may run; ``deadline`` is monotonic time."""
+    """A request that may run; the last two are monotonic times."""
 
     picture: Picture
     route: Route
@@ -29,6 +29,7 @@
     identity: str
     priority: int
     deadline: float
+    target: float
 
 
 class Admission:
@@ -96,6 +97,7 @@
                 identity.decode('latin-1'),
                 priority,
                 request.arrived_at + seconds,
+                request.arrived_at + route.target_seconds,
             )
         )
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -175,6 +175,7 @@
         admitted = state.admitted
         account = admitted.account
         left_ms = int((admitted.deadline - now) * _MILLISECONDS)
+        target_ms = int((admitted.target - now) * _MILLISECONDS)
         return CallRequest(
             version=admitted.picture.configuration.version,
             endpoint=endpoint.address.host,
@@ -189,6 +190,7 @@
             priority=admitted.priority,
             identity=admitted.identity,
             is_repeatable=admitted.route.kind.is_repeatable,
+            target_ms=max(target_ms, 1),
         )
 
     def _learn(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
@@ -16,19 +16,26 @@
 # Part of the former estimate that one more observation replaces.
 _SMOOTHING = 0.1
 _FIRST_SERVICE_SECONDS = 0.1
+# Service times spread widely: this multiple of the usual one is planned for.
+_PLANNED_SERVICE = 1.5
+# Part of its target that a request may wait even if it will miss it.
+_LEAST_WAIT_PART = 0.3
+# Part of the usual service time that has to be left at the start.
+_LEAST_SERVICE_PART = 0.6
 _MILLISECONDS = 1000
 
 
 class Ticket(NamedTuple):
     """A request that wants a slot.
 
-    ``deadline`` is monotonic time; a lower ``priority`` is more urgent.
-    ``workload`` groups requests of similar service time.
+    ``deadline`` and ``target`` are monotonic times; a lower ``priority`` is
+    more urgent. ``workload`` groups requests of similar service time.
     """
 
     workload: str
     priority: int
     deadline: float
+    target: float
 
 
 class _Waiter(NamedTuple):
@@ -109,8 +116,7 @@
         if self._closed_reason:
             return Err(Refusal(self._closed_reason, 'no', 0))
         wait = self.predict_wait(ticket.priority)
-        left = ticket.deadline - self._clock.monotonic()
-        if wait + self.estimate_seconds(ticket.workload) / 2 > left:
+        if wait > self._longest_wait(ticket):
             return Err(self._refuse('wait_too_long', wait))
         if self.queued >= MAX_QUEUED:
             return Err(self._refuse('queue_full', wait))
@@ -169,8 +175,23 @@
             waiter.slot.set_result(Ok(Slot(self, waiter.ticket.workload, now)))
         self._watch_deadlines(now)
 
+    def _longest_wait(self, ticket: Ticket) -> float:
+        """Return how long a request may wait.
+
+        A longer queue would serve as many requests, but every one of them
+        behind its target.
+        """
+        now = self._clock.monotonic()
+        service = self.estimate_seconds(ticket.workload)
+        target_left = max(ticket.target - now, 0)
+        planned = target_left - service * _PLANNED_SERVICE
+        wanted = max(planned, _LEAST_WAIT_PART * target_left)
+        left = ticket.deadline - now - service * _LEAST_SERVICE_PART
+        return min(wanted, left)
+
     def _least_seconds(self, waiter: _Waiter) -> float:
-        return self.estimate_seconds(waiter.ticket.workload) / 4
+        service = self.estimate_seconds(waiter.ticket.workload)
+        return service * _LEAST_SERVICE_PART
 
     def _watch_deadlines(self, now: float) -> None:
         """Refuse waiting requests as soon as they can't end in time."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -69,10 +69,14 @@
             self._note(request, refusal, arrived, arrived)
             return Err(refusal)
         allowed = request.timeout_ms / _MILLISECONDS - RETURN_SECONDS
-        deadline = arrived + allowed
-        admitted = await self._gate.admit(
-            Ticket(request.route, request.priority, deadline)
+        wanted = request.target_ms / _MILLISECONDS or allowed
+        ticket = Ticket(
+            request.route,
+            request.priority,
+            arrived + allowed,
+            arrived + min(wanted, allowed),
         )
+        admitted = await self._gate.admit(ticket)
         match admitted:
             case Ok(slot):
                 return await self._run(request, body, slot, arrived)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -16,8 +16,10 @@
 LOCAL_PART = 0.4
 # A limit whose equal shares are smaller than this is wholly at its home.
 _LEAST_SHARE_TOKENS = 1
-# A new home lends nothing while its predecessor may still lend.
-HOME_START_SECONDS = 3.0
+# A home that was another daemon's lends nothing while that may still lend.
+HOME_START_SECONDS = 2.0
+# Time after the start in which the first homes are found.
+_FIRST_HOMES_SECONDS = 2.0
 
 
 class Tolerance(NamedTuple):
@@ -100,12 +102,16 @@
         self._members = members
         self._clock = clock
         self._tolerance = tolerance
+        self._started_at = clock.monotonic()
         self._buckets: dict[str, TokenBucket] = {}
         self._accounts: Mapping[str, ClientAccount] = {}
 
     def keep(self, accounts: Mapping[str, ClientAccount]) -> None:
         """Take the accounts in force; homes lie among present daemons."""
-        start = self._clock.monotonic() + HOME_START_SECONDS
+        now = self._clock.monotonic()
+        # A restarted daemon takes over from itself, and its bucket is empty.
+        is_first = now - self._started_at < _FIRST_HOMES_SECONDS
+        start = now if is_first else now + HOME_START_SECONDS
         former, self._buckets = self._buckets, {}
         self._accounts = accounts
         for name in accounts:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
@@ -8,6 +8,10 @@
 _BURST_SECONDS = 0.5
 
 
+# Part of the stated rate that is used; the bound lies at one half more.
+_USED_RATE = 1.2
+
+
 class WarmUp:
     """Limits the starts of requests while the upstream is or may be cold.
 
@@ -41,7 +45,7 @@
 
     def limit_rate(self, requests_per_second: float) -> None:
         """Take the rate that a cold upstream bears; 0 means any."""
-        self._rate = requests_per_second
+        self._rate = requests_per_second * _USED_RATE
 
     def note_cold(self, seconds: float) -> None:
         """Note how long the upstream stays cold."""
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -60,7 +60,7 @@
     )
     route = make_route(kind=kind, max_attempts=attempts)
     picture = make_picture(*endpoints)
-    admitted = Admitted(picture, route, None, 'id', 1, clock.now + 1)
+    admitted = Admitted(picture, route, None, 'id', 1, clock.now + 1, 0)
     state = Forwarding(admitted, 'desk')
     content = Content('GET', '/status/', (), WholeBody())
     return state, forwarder.forward(state, content)
@@ -162,6 +162,7 @@
             'id',
             1,
             clock.now + 1,
+            0,
         )
         state = Forwarding(admitted, 'desk')
         content = Content('GET', '/status/', (), WholeBody())
--- a/packages/wagtailline-sidecar/tests/test_gate.py
+++ b/packages/wagtailline-sidecar/tests/test_gate.py
@@ -25,7 +25,7 @@
 
 def ticket(priority: int = 1, seconds: float = 5) -> Ticket:
     now = asyncio.get_running_loop().time()
-    return Ticket('status', priority, now + seconds)
+    return Ticket('status', priority, now + seconds, now + seconds)
 
 
 async def settle() -> None:
--- a/packages/wagtailline/src/wagtailline/calls/_types.py
+++ b/packages/wagtailline/src/wagtailline/calls/_types.py
@@ -17,7 +17,8 @@
     ``timeout_ms`` the time left, ``depth`` the number of calls above it.
     ``instance`` names the incarnation of the upstream that has to run it, a
     lower ``priority`` is more urgent, ``identity`` tells requests apart in
-    logs, ``is_repeatable`` tells whether it may run again.
+    logs, ``is_repeatable`` tells whether it may run again. An answer within
+    ``target_ms`` is wanted; 0 means that only the time left counts.
     """
 
     version: int
@@ -37,6 +38,7 @@
     priority: int = 0
     identity: str = ''
     is_repeatable: bool = False
+    target_ms: int = 0
 
 
 class Refusal(NamedTuple):
