Let calls of upstreams wait for their whole time, spread refused clients

Change: requests on open routes are bounded by their timeout only; a refused client comes back after 0.4 s at least, spread over the double.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -97,10 +97,19 @@
                 identity.decode('latin-1'),
                 priority,
                 request.arrived_at + seconds,
-                request.arrived_at + route.target_seconds,
+                request.arrived_at + min(self._target(route, account), seconds),
             )
         )
 
+    def _target(self, route: Route, account: ClientAccount | None) -> float:
+        """Return the latency to aim at, in seconds.
+
+        Open routes carry the calls of upstreams. A refused call wastes the
+        slot of the request that made it, so it may wait for its whole time.
+        """
+        is_metered = account is not None
+        return route.target_seconds if is_metered else route.timeout_seconds
+
     def _identify(
         self, headers: Headers, table: RouteTable
     ) -> Result[ClientAccount, Refusal]:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/refusals.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/refusals.py
@@ -19,11 +19,11 @@
     'malformed_headers': 400,
     'quota_exhausted': 429,
 }
-# A refused client comes back no sooner than this, in seconds.
-LEAST_RETRY_SECONDS = 0.05
-_DEFAULT_RETRY_SECONDS = 0.25
+# A refused client comes back no sooner than this, in seconds: an overload
+# lasts longer than the queue that is seen at one moment.
+LEAST_RETRY_SECONDS = 0.4
 # Clients that were refused together come back spread over this part.
-_SPREAD = 0.5
+_SPREAD = 1.0
 _MILLISECONDS = 1000
 
 
@@ -68,5 +68,5 @@
 
 
 def _spread(seconds: float, random: Random) -> float:
-    least = max(seconds or _DEFAULT_RETRY_SECONDS, LEAST_RETRY_SECONDS)
+    least = max(seconds, LEAST_RETRY_SECONDS)
     return least * (1 + _SPREAD * random.random())
