--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -16,6 +16,8 @@
 
 # Unknown names are denied for good only while the picture is this young.
 FRESH_SECONDS = 3.0
+# Part of their timeout within which requests on open routes are wanted.
+_OPEN_ROUTE_PATIENCE = 0.5
 _BEARER = b'bearer'
 _MILLISECONDS = 1000
 
@@ -105,10 +107,13 @@
         """Return the latency to aim at, in seconds.
 
         Open routes carry the calls of upstreams. A refused call wastes the
-        slot of the request that made it, so it may wait for its whole time.
+        slot of the request that made it, and a slow one holds that slot, so
+        it may wait for a part of its time.
         """
-        is_metered = account is not None
-        return route.target_seconds if is_metered else route.timeout_seconds
+        if account is not None:
+            return route.target_seconds
+        patience = route.timeout_seconds * _OPEN_ROUTE_PATIENCE
+        return max(route.target_seconds, patience)
 
     def _identify(
         self, headers: Headers, table: RouteTable
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/refusals.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/refusals.py
@@ -21,7 +21,7 @@
 }
 # A refused client comes back no sooner than this, in seconds: an overload
 # lasts longer than the queue that is seen at one moment.
-LEAST_RETRY_SECONDS = 0.4
+LEAST_RETRY_SECONDS = 0.25
 # Clients that were refused together come back spread over this part.
 _SPREAD = 1.0
 _MILLISECONDS = 1000
