--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -81,6 +81,9 @@
 
     is_closing: bool
 
+    def is_last(self, exchange: 'Exchange') -> bool:
+        """Tell whether no request was read behind this one."""
+
     def finish(self, exchange: 'Exchange', keeps_open: bool) -> None:
         """Go on after the answer."""
 
@@ -152,7 +155,9 @@
     async def _begin(self) -> None:
         await self._turn.wait()
         self.is_answered = True
-        if self._connection.is_closing:
+        if self._connection.is_closing and self._connection.is_last(self):
+            # Behind an answer that closes, requests count as not read, but
+            # those that were read have started already.
             self.keeps_open = False
         if self._body is not None and not self._body.is_complete:
             # The rest of the request would be taken for the next one.
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -199,6 +199,13 @@
         if len(self._exchanges) + len(self._waiting) >= MAX_PIPELINED:
             self._pause_reading()
 
+    def is_last(self, exchange: Exchange) -> bool:
+        """Tell whether no request was read behind this one."""
+        is_reading = self._is_in_head or self._body is not None
+        return self._exchanges[-1] is exchange and not (
+            self._waiting or is_reading
+        )
+
     def finish(self, exchange: Exchange, keeps_open: bool) -> None:
         """Go on after an answer; called by its exchange."""
         if exchange in self._exchanges:
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -239,3 +239,26 @@
     assert (status, body) == (200, b'done')
     assert headers['connection'] == 'close'
     assert await client.read_rest() == b''
+
+
+async def test_planned_stop_answers_pipelined_requests_that_have_started():
+    """Guards against a stop that drops requests behind the first answer.
+
+    Found by the day file calm-with-every-change on Fjordpenn: the first
+    answer closed the connection while an endpoint worked on the second.
+    """
+
+    async def answer(request, exchange):
+        await asyncio.sleep(0.05 if request.target == '/1' else 0.15)
+        await exchange.respond(200, (), request.target.encode())
+
+    listener, port = await listen(answer)
+    client = await connect(port)
+    client.send(get('/1') + get('/2') + get('/3'))
+    await asyncio.sleep(0.02)
+    listener.finish()
+    await listener.stop()
+    answers = [await client.read_answer() for _ in range(3)]
+    assert [body for _, _, body in answers] == [b'/1', b'/2', b'/3']
+    closings = [headers.get('connection') for _, headers, _ in answers]
+    assert closings == [None, None, 'close']
