Give a finite time to come back without a share, report faults of handlers

Change: a refused client comes back after 2 s at the latest; a fault of a handler is logged and answered 500 (nothing promised), and the requests behind it on the connection go on. wagtailctl trace finds a request in logs. Both tests failed before.

--- a/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/main.py
@@ -13,6 +13,7 @@
     StatusCommand,
     WaitCommand,
 )
+from wagtailline_ctl._log_commands import TraceCommand
 from wagtailline_ctl._set_commands import (
     BuildCommand,
     CheckCommand,
@@ -29,6 +30,7 @@
     FleetCommand,
     MembersCommand,
     StatusCommand,
+    TraceCommand,
     WaitCommand,
 )
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_base.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_base.py
@@ -8,7 +8,7 @@
 from wagtailline.codec import FrameFault
 from wagtailline_daemon.events import open_event_log
 from wagtailline_sidecar.clock import BootClock
-from wagtailline_sidecar.daemon_events import FrameRejected
+from wagtailline_sidecar.daemon_events import FrameRejected, HandlerFailed
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.log_output import BoundedOutput
 from wagtailline_sidecar.picture import PictureKeeper
@@ -50,6 +50,10 @@
         """Return how long a picture proves that a key is valid."""
         return self.settings.key_proof_ms / _MILLISECONDS
 
+    def report_error(self, error: Exception) -> None:
+        """Report a fault of this program that ended a request or call."""
+        self.telemetry.observe(HandlerFailed(repr(error)))
+
     def report_fault(self, fault: FrameFault) -> None:
         """Report bytes of a peer that are no message."""
         self.telemetry.observe(FrameRejected(str(fault)))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -9,7 +9,6 @@
     Hello,
 )
 from wagtailline_sidecar._compose_base import Base
-from wagtailline_sidecar.daemon_events import HandlerFailed
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
@@ -50,7 +49,7 @@
         settings.vm,
         peers,
         GateService(gate, upstream, local, base.clock, observe),
-        lambda error: observe(HandlerFailed(repr(error))),
+        base.report_error,
     )
     pictures = PictureExchange(
         base.keeper,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -86,7 +86,12 @@
         picture = base.keeper.current
         return picture.configuration.limits if picture else IngressLimits()
 
-    return HttpListener(parse_address(base.settings.ingress), handler, limits)
+    return HttpListener(
+        parse_address(base.settings.ingress),
+        handler,
+        base.report_error,
+        limits,
+    )
 
 
 def _build_forwarder(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -15,6 +15,7 @@
 
 # Above this many bytes that nobody took, the client must wait.
 BODY_HIGH_WATER_BYTES = 256 * 1024
+_INTERNAL_ERROR = 500
 
 
 class RequestBody:
@@ -90,6 +91,9 @@
     def abort(self) -> None:
         """Break the connection."""
 
+    def report(self, error: Exception) -> None:
+        """Report a fault of a handler."""
+
     async def write(self, content: bytes) -> None:
         """Write bytes and wait while the client does not read."""
 
@@ -175,7 +179,10 @@
             await work
         except asyncio.CancelledError:
             return
-        except Exception:
-            self._connection.abort()
-            raise
+        except Exception as error:
+            self._connection.report(error)
+            if self.is_answered:
+                self._connection.abort()
+                return
+            await self.respond(_INTERNAL_ERROR, (), b'')
         self._connection.finish(self, self.keeps_open)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -71,6 +71,7 @@
         'readiness': HttpListener(
             parse_address(settings.readiness),
             answer_readiness(readiness.is_ready),
+            base.report_error,
         )
     }
     if settings.metrics_port is not None:
@@ -78,5 +79,6 @@
         listeners['metrics'] = HttpListener(
             Address(host, settings.metrics_port),
             answer_metrics(base.telemetry.render),
+            base.report_error,
         )
     return listeners
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -17,9 +17,14 @@
         self,
         address: Address,
         handler: Handler,
+        observe_error: Callable[[Exception], None],
         limits: Callable[[], IngressLimits] = IngressLimits,
     ) -> None:
-        """Listen after the start."""
+        """Listen after the start.
+
+        ``observe_error`` gets what the handler raised.
+        """
+        self._observe_error = observe_error
         self._address = address
         self._handler = handler
         self._limits = limits
@@ -57,4 +62,9 @@
         self.close_idle()
 
     def _make_connection(self) -> ServerConnection:
-        return ServerConnection(self._handler, self._limits, self._connections)
+        return ServerConnection(
+            self._handler,
+            self._limits,
+            self._connections,
+            self._observe_error,
+        )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -18,6 +18,9 @@
 _LEAST_SHARE_TOKENS = 1
 # A home that was another daemon's lends nothing while that may still lend.
 HOME_START_SECONDS = 2.0
+# A refused client asks again after this time at the latest: a home that is
+# silent now may answer then.
+MAX_WAIT_SECONDS = 2.0
 # Time after the start in which the first homes are found.
 _FIRST_HOMES_SECONDS = 2.0
 
@@ -177,6 +180,7 @@
         if bucket.take():
             return 0
         wait = bucket.wait_seconds(self._limit(account))
+        wait = min(wait, MAX_WAIT_SECONDS)
         home = owner(account.name, self._members.present)
         if home is None:
             return wait
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -45,8 +45,13 @@
         handler: Handler,
         limits: Callable[[], IngressLimits],
         connections: 'set[ServerConnection]',
+        observe_error: Callable[[Exception], None],
     ) -> None:
-        """Run the handler in a task for each request."""
+        """Run the handler in a task for each request.
+
+        ``observe_error`` gets what the handler raised.
+        """
+        self._observe_error = observe_error
         self._handler = handler
         self._limits = limits
         self._connections = connections
@@ -222,6 +227,10 @@
         elif self.is_idle:
             self._arm(self._limits().idle_timeout_seconds)
 
+    def report(self, error: Exception) -> None:
+        """Report a fault of the handler."""
+        self._observe_error(error)
+
     def abort(self) -> None:
         """Break the connection, so that an answer does not look whole."""
         self._is_stopped = True
--- a/packages/wagtailline-sidecar/tests/_peers.py
+++ b/packages/wagtailline-sidecar/tests/_peers.py
@@ -54,10 +54,13 @@
     return server, Address(HOST, server.sockets[0].getsockname()[1])
 
 
-async def listen(handler, limits=None) -> tuple[HttpListener, int]:
+async def listen(handler, limits=None, errors=None) -> tuple[HttpListener, int]:
     """Listen with a handler at a free port."""
     listener = HttpListener(
-        Address(HOST, 0), handler, lambda: limits or IngressLimits()
+        Address(HOST, 0),
+        handler,
+        (errors if errors is not None else []).append,
+        lambda: limits or IngressLimits(),
     )
     await listener.start()
     port = listener._server.sockets[0].getsockname()[1]
--- a/packages/wagtailline-sidecar/tests/test_quotas.py
+++ b/packages/wagtailline-sidecar/tests/test_quotas.py
@@ -4,7 +4,11 @@
 from _fixtures import make_account
 from _quota_fleet import QuotaFleet
 
-from wagtailline_sidecar.quotas import HOME_START_SECONDS, Tolerance
+from wagtailline_sidecar.quotas import (
+    HOME_START_SECONDS,
+    MAX_WAIT_SECONDS,
+    Tolerance,
+)
 
 TOLERANCE = Tolerance(window_seconds=5, overage=0.25, slack=20)
 STEP_SECONDS = 0.01
@@ -107,3 +111,16 @@
         taken += 1
     quotas.give_back(account)
     assert await quotas.take(account) == 0
+
+
+async def test_wait_without_a_share_is_finite():
+    """Guards against a wait that no clock can express.
+
+    A small account is wholly at its home; while that is silent, this daemon
+    has no tokens at all.
+    """
+    small = make_account('small', rate=1, burst=1)
+    fleet = QuotaFleet(12, (small,), TOLERANCE, 1)
+    for host, member in fleet.members.items():
+        fleet.cut = {host}
+        assert 0 < await member.quotas.take(small) <= MAX_WAIT_SECONDS
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -262,3 +262,22 @@
     assert [body for _, _, body in answers] == [b'/1', b'/2', b'/3']
     closings = [headers.get('connection') for _, headers, _ in answers]
     assert closings == [None, None, 'close']
+
+
+async def test_fault_of_a_handler_is_reported_and_answered():
+    """Guards against a fault that cuts a request without a log line.
+
+    Found by the day file calm-with-every-change on Fjordpenn: the wait for
+    an account without a share was infinite, and the connection was cut.
+    """
+
+    async def answer(request, exchange):
+        raise OverflowError
+
+    errors: list[Exception] = []
+    listener, port = await listen(answer, errors=errors)
+    client = await connect(port)
+    client.send(get('/1'))
+    assert (await client.read_answer())[0] == 500
+    assert [type(error) for error in errors] == [OverflowError]
+    await listener.stop()
