Read both kinds of settings with one function, split long modules, log silent homes

Cause: reading a settings file stood twice; two modules held types, checks and connections; a home that does not answer left no line in the log. Change: read_settings serves both daemons; heads and client types have modules of their own; HomeSilent is an event.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/settings.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/settings.py
@@ -2,7 +2,7 @@
 
 import json
 from pathlib import Path
-from typing import Annotated, Literal, NamedTuple
+from typing import Annotated, Literal, NamedTuple, TypeVar
 
 from msgspec import Meta
 from result import Err, Ok, Result
@@ -61,16 +61,25 @@
 SettingsFault = FieldFault | SettingsUnreadable
 
 
+_Settings = TypeVar('_Settings')
+
+
 def load_settings(
     path: Path,
 ) -> Result[DaemonSettings, tuple[SettingsFault, ...]]:
     """Read and check a settings file; the error names every fault."""
+    return read_settings(DaemonSettings, path)
+
+
+def read_settings(
+    kind: type[_Settings], path: Path
+) -> Result[_Settings, tuple[SettingsFault, ...]]:
+    """Read a file of settings of any kind; the error names every fault."""
     try:
         raw = json.loads(path.read_bytes())
     except (OSError, ValueError) as problem:
         return Err((SettingsUnreadable(str(path), str(problem)),))
-    parsed = parse_record(DaemonSettings, raw, str(path))
-    match parsed:
+    match parse_record(kind, raw, str(path)):
         case Ok(settings):
             return Ok(settings)
         case Err(faults):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -39,7 +39,7 @@
     demand = Demand(notices.host, base.clock)
     members = Members(base.clock)
     homes = Homes(notices.host, base.clock, base.tolerance, members)
-    borrowing = Borrowing(notices, homes)
+    borrowing = Borrowing(notices, homes, base.telemetry.observe)
     quotas = Quotas(
         base.clock, base.tolerance, demand, members, borrowing.borrow
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/borrowing.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/borrowing.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
+from typing import NamedTuple
 
 from wagtailline.codec import Message
 from wagtailline_sidecar.model import ClientAccount
@@ -15,11 +17,27 @@
 SILENCE_SECONDS = 0.5
 
 
+class HomeSilent(NamedTuple):
+    """Event: the home of an account does not answer.
+
+    Until it does, this daemon admits its own part of the account only.
+    """
+
+    home: str
+    account: str
+
+
 class Borrowing:
     """Sends loan requests to homes and answers those to this daemon."""
 
-    def __init__(self, notices: Notices, homes: Homes) -> None:
+    def __init__(
+        self,
+        notices: Notices,
+        homes: Homes,
+        observe: Callable[[NamedTuple], None],
+    ) -> None:
         """Receive requests and replies through the notices."""
+        self._observe = observe
         self._notices = notices
         self._homes = homes
         self._numbers = itertools.count(1)
@@ -50,6 +68,7 @@
                 continue
             finally:
                 self._pending.pop(number, None)
+        self._observe(HomeSilent(host, account.name))
         self._silent_until[host] = loop.time() + SILENCE_SECONDS
         return None
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -2,13 +2,20 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import NamedTuple, cast
+from typing import cast
 
 import httptools
 
 from wagtailline.calls import Body, BodyTruncated, Headers, WholeBody
 from wagtailline.ports import Address
 from wagtailline.streams import limit_silence
+from wagtailline_sidecar._client_types import (
+    AnswerMalformed,
+    AnswerMissing,
+    ClientAnswer,
+    ClientRequest,
+    ConnectionFailed,
+)
 from wagtailline_sidecar.http_messages import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -16,10 +23,21 @@
     TRANSFER_ENCODING,
     encode_request,
     find_header,
+    frame_by_length,
     has_body,
     split_tokens,
 )
 
+__all__ = (
+    'AnswerMalformed',
+    'AnswerMissing',
+    'ClientAnswer',
+    'ClientConnection',
+    'ClientRequest',
+    'ConnectionFailed',
+    'open_connection',
+)
+
 # An answer that grows beyond this is passed on while it arrives.
 MAX_WHOLE_BYTES = 1024 * 1024
 _CLOSE = b'close'
@@ -28,35 +46,6 @@
 _READ_HIGH_WATER_BYTES = 512 * 1024
 
 
-class ConnectionFailed(Exception):
-    """No connection could be made; nothing was sent."""
-
-
-class AnswerMissing(Exception):
-    """The connection ended before an answer; the request may have run."""
-
-
-class AnswerMalformed(Exception):
-    """The bytes that came are no answer to the request."""
-
-
-class ClientRequest(NamedTuple):
-    """A request to send; ``identity`` is the header that answers echo."""
-
-    method: str
-    target: str
-    headers: Headers
-    identity: tuple[bytes, bytes] | None = None
-
-
-class ClientAnswer(NamedTuple):
-    """Head of an answer and its body."""
-
-    status: int
-    headers: Headers
-    body: Body
-
-
 class ClientConnection(asyncio.Protocol):
     """One connection to a server.
 
@@ -212,7 +201,7 @@
         if self._is_lost or self._transport is None:
             raise AnswerMissing
         if isinstance(content, WholeBody):
-            framing = _length_framing(request.method, content.content)
+            framing = frame_by_length(request.method, content.content)
             head = encode_request(
                 request.method, request.target, (*request.headers, *framing)
             )
@@ -334,9 +323,3 @@
     except OSError as problem:
         raise ConnectionFailed(str(problem)) from problem
     return connection
-
-
-def _length_framing(method: str, content: bytes) -> Headers:
-    if not content and method in {'GET', 'HEAD', 'DELETE', 'OPTIONS'}:
-        return ()
-    return ((CONTENT_LENGTH, b'%d' % len(content)),)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
@@ -29,6 +29,7 @@
 )
 _BODILESS_STATUSES = frozenset((204, 304))
 _FIRST_FINAL_STATUS = 200
+_BODILESS_METHODS = frozenset(('GET', 'HEAD', 'DELETE', 'OPTIONS'))
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
@@ -80,6 +81,13 @@
     return _encode(f'HTTP/1.1 {status} {phrase}'.encode(), headers)
 
 
+def frame_by_length(method: str, content: bytes) -> Headers:
+    """Return the framing of a request body that is wholly known."""
+    if not content and method in _BODILESS_METHODS:
+        return ()
+    return ((CONTENT_LENGTH, b'%d' % len(content)),)
+
+
 def _encode(line: bytes, headers: Headers) -> bytes:
     lines = [b'%b: %b' % header for header in headers]
     return _LINE_END.join((line, *lines, b'', b''))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -3,37 +3,32 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple, cast
+from typing import cast
 
 import httptools
 
-from wagtailline.calls import Headers
 from wagtailline_sidecar._exchange import Exchange, RequestBody
+from wagtailline_sidecar._request_head import (
+    BAD_REQUEST,
+    CONTENT_TOO_LARGE,
+    HEAD_TOO_LARGE,
+    IncomingRequest,
+    RequestHead,
+    check_head,
+)
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import IngressLimits
 
+__all__ = ('Handler', 'IncomingRequest', 'ServerConnection')
+
 # Requests of one connection that are worked on or wait at once.
 MAX_PIPELINED = 16
-_BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
-_CONTENT_TOO_LARGE = 413
-_HEAD_TOO_LARGE = 431
-_VERSION_NOT_SUPPORTED = 505
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Safe requests run before earlier ones on the connection were answered.
 _CONCURRENT_METHODS = frozenset(('GET', 'HEAD'))
 
 
-class IncomingRequest(NamedTuple):
-    """A request whose head was read; ``arrived_at`` is loop time."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: RequestBody
-    arrived_at: float
-
-
 Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
 
 
@@ -110,16 +105,16 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._refuse(_BAD_REQUEST)
+            self._refuse(BAD_REQUEST)
         except httptools.HttpParserError:
-            self._refuse(_BAD_REQUEST)
+            self._refuse(BAD_REQUEST)
         if self._is_in_head and completed == self._completed:
             # The parser keeps an unfinished field to itself.
             parsed = self._head_bytes - noted
             self._unparsed_bytes += max(len(data) - parsed, 0)
         received = self._head_bytes + self._unparsed_bytes
         if self._is_in_head and received > self._limits().head_bytes:
-            self._refuse(_HEAD_TOO_LARGE)
+            self._refuse(HEAD_TOO_LARGE)
 
     def pause_writing(self) -> None:
         """Make writers wait for the client."""
@@ -166,7 +161,15 @@
         """Start the request unless its head is not acceptable."""
         self._unparsed_bytes = 0
         self._is_in_head = False
-        status = self._check_head()
+        status = check_head(
+            RequestHead(
+                self._parser.get_http_version(),
+                self._url,
+                tuple(self._headers),
+                self._head_bytes,
+            ),
+            self._limits(),
+        )
         if status:
             self._refuse(status)
             return
@@ -192,7 +195,7 @@
             return
         self._body.feed(content)
         if self._body.received_bytes > self._limits().body_bytes:
-            self._refuse(_CONTENT_TOO_LARGE)
+            self._refuse(CONTENT_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """End a request's body."""
@@ -259,22 +262,6 @@
                 exchange.take_turn()
             exchange.run(self._handler(request, exchange))
 
-    def _check_head(self) -> int:
-        if self._head_bytes > self._limits().head_bytes:
-            return _HEAD_TOO_LARGE
-        if self._parser.get_http_version() != '1.1':
-            return _VERSION_NOT_SUPPORTED
-        names = [name for name, _ in self._headers]
-        if names.count(b'host') != 1 or not self._url.startswith(b'/'):
-            return _BAD_REQUEST
-        if names.count(b'content-length') > 1:
-            return _BAD_REQUEST
-        length = find_header(tuple(self._headers), b'content-length')
-        if length and length.isdigit():
-            if int(length) > self._limits().body_bytes:
-                return _CONTENT_TOO_LARGE
-        return 0
-
     def _refuse(self, status: int) -> None:
         """Answer bytes that are no request and close behind the answer."""
         if self._is_stopped:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/settings.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/settings.py
@@ -1,21 +1,22 @@
 """Settings of the sidecar: one JSON file, checked as a whole at start."""
 
-import json
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
 from msgspec import Meta
-from result import Err, Ok, Result
+from result import Result
 
 from wagtailline.objects import Name
 from wagtailline.ports import Address
-from wagtailline.records import FieldFault, parse_record
+from wagtailline_daemon.settings import (
+    Port,
+    Ratio,
+    Seconds,
+    SettingsFault,
+    read_settings,
+)
 
-Host = Annotated[str, Meta(min_length=1, max_length=64)]
-Port = Annotated[int, Meta(ge=1, le=65535)]
 Milliseconds = Annotated[int, Meta(ge=1, le=86_400_000)]
-Seconds = Annotated[float, Meta(gt=0, le=86_400)]
-Ratio = Annotated[float, Meta(ge=0, le=1)]
 AddressText = Annotated[str, Meta(pattern=r'^[0-9.]+:[0-9]{1,5}$')]
 
 
@@ -52,29 +53,11 @@
     log_lines_per_second: Annotated[float, Meta(gt=0)] = 500
 
 
-class SettingsUnreadable(NamedTuple):
-    """The file can't be read or holds no JSON."""
-
-    path: str
-    problem: str
-
-
-SettingsFault = FieldFault | SettingsUnreadable
-
-
 def load_settings(
     path: Path,
 ) -> Result[SidecarSettings, tuple[SettingsFault, ...]]:
     """Read and check a settings file; the error names every fault."""
-    try:
-        raw = json.loads(path.read_bytes())
-    except (OSError, ValueError) as problem:
-        return Err((SettingsUnreadable(str(path), str(problem)),))
-    match parse_record(SidecarSettings, raw, str(path)):
-        case Ok(settings):
-            return Ok(settings)
-        case Err(faults):
-            return Err(faults)
+    return read_settings(SidecarSettings, path)
 
 
 def parse_address(text: str) -> Address:
