Test the whole path over real processes, with stand-ins of store and endpoints

The tests lie in tests/, as pytest would import a package platform.tests and hide the standard library's module of that name.

--- /dev/null
+++ b/packages/wagtailline-lab/src/wagtailline_lab/registry_platform.py
@@ -0,0 +1,114 @@
+"""Stand-in of a platform whose endpoints register themselves.
+
+It keeps items in memory and answers ranges of them over HTTP. Faults are
+switched on by the test: refused readers, slow or stale answers.
+"""
+
+import asyncio
+import base64
+import json
+from collections.abc import Mapping
+from typing import NamedTuple
+from urllib.parse import parse_qs, urlsplit
+
+from wagtailline.ports import Address
+
+PAGE_ITEMS = 500
+_UNAVAILABLE = 503
+_OK = 200
+
+
+class Item(NamedTuple):
+    """A value and the revision of its last change."""
+
+    content: bytes
+    revision: int
+
+
+class RegistryPlatform:
+    """Items by key, served at an address.
+
+    ``reads`` counts the answered and refused ranges. ``refused_hosts`` get
+    503, ``delay_seconds`` passes before each answer.
+    """
+
+    def __init__(self) -> None:
+        """Hold nothing."""
+        self.revision = 0
+        self.reads = 0
+        self.refused_hosts: set[str] = set()
+        self.delay_seconds = float(0)
+        self._items: dict[str, Item] = {}
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str = '127.0.0.1') -> Address:
+        """Listen at a free port and return the address."""
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        bound = self._server.sockets[0].getsockname()
+        return Address(bound[0], bound[1])
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    def put(self, key: str, fields: Mapping[str, object]) -> None:
+        """Write a value as JSON."""
+        self.put_bytes(key, json.dumps(fields).encode())
+
+    def put_bytes(self, key: str, content: bytes) -> None:
+        """Write a value as it is."""
+        self.revision += 1
+        self._items[key] = Item(content, self.revision)
+
+    def remove(self, key: str) -> None:
+        """Remove a value."""
+        self.revision += 1
+        self._items.pop(key, None)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host = writer.get_extra_info('peername')[0]
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await asyncio.sleep(self.delay_seconds)
+                writer.write(self._answer(head, host))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def _answer(self, head: bytes, host: str) -> bytes:
+        self.reads += 1
+        if host in self.refused_hosts:
+            return _encode(_UNAVAILABLE, b'')
+        target = head.split(b' ', 2)[1].decode()
+        query = parse_qs(urlsplit(target).query, keep_blank_values=True)
+        after = query.get('after', [''])[0]
+        prefix = query.get('prefix', [''])[0]
+        keys = [
+            key
+            for key in sorted(self._items)
+            if key.startswith(prefix) and key > after
+        ]
+        page = {
+            'items': [self._describe(key) for key in keys[:PAGE_ITEMS]],
+            'hasMore': len(keys) > PAGE_ITEMS,
+            'at': self.revision,
+        }
+        return _encode(_OK, json.dumps(page).encode())
+
+    def _describe(self, key: str) -> dict[str, object]:
+        item = self._items[key]
+        return {
+            'key': key,
+            'value': base64.b64encode(item.content).decode(),
+            'revision': item.revision,
+            'created': item.revision,
+            'lease': 0,
+        }
+
+
+def _encode(status: int, body: bytes) -> bytes:
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
--- /dev/null
+++ b/tests/wagtailline_platform/_daemons.py
@@ -0,0 +1,207 @@
+"""Real sidecar processes on loopback addresses, with stand-ins."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from wagtailline.ports import Address
+from wagtailline_lab.registry_platform import RegistryPlatform
+from wagtailline_lab.sealed_upstream import SealedUpstream, UpstreamHeaders
+
+ADAPTER = Path(__file__).parents[2] / 'platform'
+HOST = 'desk.example'
+HEADERS = UpstreamHeaders(
+    'x-attempt-id',
+    'x-expect-instance',
+    'x-instance-id',
+    'x-server-seal',
+    'x-not-executed',
+)
+# Each worker of a parallel test run has ports of its own.
+_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
+_PORTS = itertools.count(41_000 + 500 * _WORKER, 10)
+_READY_TRIES = 200
+_READY_PAUSE_SECONDS = 0.1
+
+
+def make_configuration(version: int = 1, **changes) -> dict:
+    route = {
+        'host': HOST,
+        'prefix': '/status/',
+        'routeKind': 'safe',
+        'timeoutMs': 1000,
+        'sloMs': 500,
+        'priority': 1,
+        'service': 'desk',
+        'maxAttempts': 2,
+        'public': False,
+    }
+    order = {**route, 'prefix': '/order/', 'routeKind': 'unsafe'}
+    service = {
+        'healthPath': '/health',
+        'maxConns': 100,
+        'warmupS': 0,
+        'warmupPerS': 0,
+    }
+    return {
+        'version': version,
+        'routes': {'status': route, 'order': order},
+        'services': {'desk': service},
+        'limits': {
+            'maxHeaderBytes': 16384,
+            'maxBodyBytes': 1000000,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15000,
+        },
+        'tenants': {
+            'studio': {'apiKeys': ['studio-key'], 'ratePerS': 500, 'burst': 500}
+        },
+        **changes,
+    }
+
+
+class Vm:
+    """One sidecar and its endpoint; the host tells VMs apart."""
+
+    def __init__(self, number: int, port: int, store: Address, folder: Path):
+        self.name = f'vm-{number}'
+        self.host = f'127.0.0.{number + 1}'
+        self.port = port
+        self.log = folder / f'{self.name}.log'
+        self.upstream = SealedUpstream(f'i-{number}', HEADERS)
+        self.settings = folder / f'{self.name}.json'
+        self.process: asyncio.subprocess.Process | None = None
+        addresses = {
+            name: f'{self.host}:{port + offset}'
+            for offset, name in enumerate(
+                ('ingress', 'peers', 'readiness', 'upstream')
+            )
+        }
+        self.settings.write_text(
+            json.dumps(
+                {
+                    'vm': self.name,
+                    'data_centre': 'oslo-a',
+                    'service': 'desk',
+                    'source': f'{store.host}:{store.port}',
+                    'metrics_port': port + 4,
+                    **addresses,
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        await self.upstream.start(Address(self.host, self.port + 3))
+        await self.start_daemon()
+
+    async def start_daemon(self) -> None:
+        with self.log.open('ab') as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ADAPTER / 'sidecar.py'),
+                env={'WAGTAILLINE_SETTINGS': str(self.settings)},
+                stdout=output,
+                stderr=output,
+            )
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    async def stop(self) -> None:
+        await self.upstream.stop()
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    def describe(self, state: str = 'ready') -> dict:
+        return {
+            'service': 'desk',
+            'address': f'{self.host}:{self.port + 3}',
+            'zone': 'oslo-a',
+            'version': 'v1',
+            'maxConcurrency': 4,
+            'state': state,
+            'warmupLeftMs': 0,
+            'sequence': 1,
+            'born': 1,
+        }
+
+
+class Fleet:
+    """VMs of one data centre and the platform that they read."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.platform = RegistryPlatform()
+        self.vms: list[Vm] = []
+
+    async def start(self, size: int) -> None:
+        store = await self.platform.start()
+        port = next(_PORTS)
+        self.platform.put('op/config', make_configuration())
+        for number in range(1, size + 1):
+            vm = Vm(number, port, store, self.folder)
+            self.vms.append(vm)
+            self.register(vm)
+            await vm.start()
+        for _ in range(_READY_TRIES):
+            if all([await is_ready(vm) for vm in self.vms]):
+                return
+            await asyncio.sleep(_READY_PAUSE_SECONDS)
+        raise TimeoutError('the daemons do not become ready')
+
+    def register(self, vm: Vm, state: str = 'ready') -> None:
+        key = f'servers/{vm.upstream.instance}'
+        self.platform.put(key, vm.describe(state))
+
+    async def stop(self) -> None:
+        for vm in self.vms:
+            await vm.stop()
+        await self.platform.stop()
+
+    def runs(self, request_id: str) -> int:
+        return sum(vm.upstream.runs(request_id) for vm in self.vms)
+
+
+async def ask(
+    vm: Vm,
+    target: str,
+    *,
+    key='studio-key',
+    request_id='',
+    method='GET',
+    port_offset: int = 0,
+) -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a connection of its own."""
+    address = vm.host, vm.port + port_offset
+    reader, writer = await asyncio.open_connection(*address)
+    rows = [f'Host: {HOST}', f'X-Attempt-Id: {request_id}']
+    if key:
+        rows.append(f'Authorization: Bearer {key}')
+    if method != 'GET':
+        rows.append('Content-Length: 0')
+    head = f'{method} {target} HTTP/1.1\r\n' + '\r\n'.join(rows)
+    writer.write(head.encode() + b'\r\n\r\n')
+    try:
+        async with asyncio.timeout(5):
+            answer = (await reader.readuntil(b'\r\n\r\n')).decode()
+            line, *fields = answer.strip().split('\r\n')
+            headers = dict(row.lower().split(': ', 1) for row in fields)
+            length = int(headers.get('content-length', 0))
+            body = await reader.readexactly(length)
+    finally:
+        writer.close()
+    return int(line.split()[1]), headers, body
+
+
+async def is_ready(vm: Vm) -> bool:
+    """Ask for readiness as the platform does."""
+    try:
+        status, _, _ = await ask(vm, '/wagtailline/readiness', port_offset=2)
+    except OSError:
+        return False
+    return status == 200
