--- a/packages/wagtailline-lab/src/wagtailline_lab/reference.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/reference.py
@@ -10,6 +10,7 @@
 
 from wagtailline.objects import KINDS
 from wagtailline_daemon.settings import DaemonSettings
+from wagtailline_sidecar.settings import SidecarSettings
 
 _HEADING = """# Reference of settings and objects
 
@@ -25,6 +26,7 @@
     sections = [
         _HEADING,
         _render_type('Settings of `wagtaild`', DaemonSettings),
+        _render_type('Settings of the sidecar', SidecarSettings),
         '## Objects\n\nA set is a JSON object with one list for each kind.\n',
     ]
     for name, kind in KINDS.items():
