Take no more requests from a busy connection late in a planned stop

A client that pipelines kept its connection busy, so it never was idle; a request that came 3.7 s after SIGTERM was taken and cut when the time to stop was over, 5 s after SIGTERM. Change: 2.5 s after SIGTERM connections finish what was read, the last answer closes, and what comes behind it is left unread. Figures: both tests fail without the change.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -66,6 +66,8 @@
         self._is_in_head = False
         self._completed = 0
         self._is_stopped = False
+        self._takes_no_more = False
+        self._ignores_input = False
         self.is_closing = False
 
     @property
@@ -99,7 +101,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; those behind an error are ignored."""
-        if self._is_stopped:
+        if self._is_stopped or self._ignores_input:
             return
         noted, completed = self._head_bytes, self._completed
         try:
@@ -107,6 +109,10 @@
         except httptools.HttpParserUpgrade:
             self._refuse(BAD_REQUEST)
         except httptools.HttpParserError:
+            if self._takes_no_more:
+                # What is behind the last answer counts as not read.
+                self._ignores_input = True
+                return
             self._refuse(BAD_REQUEST)
         if self._is_in_head and completed == self._completed:
             # The parser keeps an unfinished field to itself.
@@ -127,6 +133,7 @@
     def close_when_idle(self) -> None:
         """Answer what was read, and take nothing more."""
         self.is_closing = True
+        self._takes_no_more = True
         if self.is_idle:
             self.close()
 
@@ -137,7 +144,10 @@
             self._transport.close()
 
     def on_message_begin(self) -> None:
-        """Begin a head."""
+        """Begin a head, unless the connection takes no more requests."""
+        if self._takes_no_more:
+            # The parser turns this into an error of the read.
+            raise ConnectionAbortedError
         self._url = b''
         self._headers = []
         self._head_bytes = 0
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -281,3 +281,55 @@
     assert (await client.read_answer())[0] == 500
     assert [type(error) for error in errors] == [OverflowError]
     await listener.stop()
+
+
+async def test_planned_stop_takes_no_more_from_a_busy_connection():
+    """Guards against a pipeline that goes on until the process ends.
+
+    Found by the hunt on Fjordpenn (day file calm-with-every-change, seeds
+    191268615154 and 1096510486150): a request that came 3.7 s after SIGTERM
+    behind others was taken, and cut when the time to stop was over.
+    """
+    taken = []
+
+    async def answer(request, exchange):
+        taken.append(request.target)
+        await asyncio.sleep(0.2)
+        await exchange.respond(200, (), request.target.encode())
+
+    listener, port = await listen(answer)
+    client = await connect(port)
+    client.send(get('/1') + get('/2'))
+    await asyncio.sleep(0.05)
+    listener.finish()
+    client.send(get('/3'))
+    await asyncio.sleep(0.05)
+    listener.close_idle()
+    client.send(get('/4'))
+    answers = [await client.read_answer() for _ in range(3)]
+    assert [body for _, _, body in answers] == [b'/1', b'/2', b'/3']
+    assert answers[-1][1]['connection'] == 'close'
+    assert await client.read_rest() == b''
+    assert taken == ['/1', '/2', '/3']
+    await listener.stop()
+
+
+async def test_unsafe_request_that_waits_is_answered_in_a_planned_stop():
+    """Guards against a request that was read and never started."""
+
+    async def answer(request, exchange):
+        await asyncio.sleep(0.1)
+        await exchange.respond(200, (), request.target.encode())
+
+    listener, port = await listen(answer)
+    client = await connect(port)
+    post = b'POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
+    client.send(get('/1') + post)
+    await asyncio.sleep(0.03)
+    listener.finish()
+    listener.close_idle()
+    client.send(get('/3'))
+    bodies = [(await client.read_answer())[2] for _ in range(2)]
+    assert bodies == [b'/1', b'/2']
+    assert await client.read_rest() == b''
+    await listener.stop()
