--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -333,3 +333,18 @@
     assert bodies == [b'/1', b'/2']
     assert await client.read_rest() == b''
     await listener.stop()
+
+
+async def test_answer_before_the_whole_body_closes_the_connection():
+    """Guards against the rest of a body that is taken for a request."""
+
+    async def answer(request, exchange):
+        await exchange.respond(200, (), b'early')
+
+    listener, port = await listen(answer)
+    client = await connect(port)
+    client.send(b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 50\r\n\r\nx')
+    _, headers, body = await client.read_answer()
+    assert body == b'early'
+    assert headers['connection'] == 'close'
+    await listener.stop()
