Stop prolonging the warm-up with each repeated registration

Cause: a daemon that takes its picture from a peer keeps the entry of its upstream as it was when the set of endpoints last differed. Every picture noted the rest of the warm-up in that entry again, so the upstream counted as cold for ever.

Change: an entry that reports a warm-up that is not known yet raises a doubt, and the health answer alone tells how long it lasts. The digest of endpoints tells cold from warm, so that an upstream that turns cold reaches its gate.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -20,6 +20,8 @@
 # Until the endpoint has registered its slots.
 _FIRST_SLOTS = 1
 _DEFAULT_HEALTH_PATH = '/health'
+# Entries are this much older than a health answer without telling more.
+_REPORT_MARGIN_SECONDS = 1.0
 
 
 class UpstreamConfirmed(NamedTuple):
@@ -98,8 +100,8 @@
         if service is not None:
             warm_up.limit_rate(service.warm_up_rate)
             self._health_path = service.health_path
-        if endpoint.warm_up_left_seconds > 0:
-            warm_up.note_cold(endpoint.warm_up_left_seconds)
+        if self._is_newly_cold(former, endpoint):
+            self.doubt('registered_cold')
         self._parts.gate.slots = max(endpoint.slots, _FIRST_SLOTS)
         self._parts.gate.dispatch()
 
@@ -116,6 +118,20 @@
         self._parts.warm_up.doubt()
         self._wanted.set()
 
+    def _is_newly_cold(
+        self, former: Endpoint | None, endpoint: Endpoint
+    ) -> bool:
+        """Tell whether an entry reports a warm-up that is not known yet.
+
+        An entry may be passed on long after it was written, so the same
+        entry again says nothing of the warm-up that is left.
+        """
+        reported = endpoint.warm_up_left_seconds
+        if former is not None and former.warm_up_left_seconds == reported:
+            return False
+        known = self._parts.warm_up.left_seconds
+        return reported > known + _REPORT_MARGIN_SECONDS
+
     def _follow_closing(self, picture: Picture) -> None:
         was_closed = self._is_closed
         self._is_closed = self._data_centre in picture.closed_data_centres
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
@@ -190,10 +190,11 @@
     """Return a digest of what decides about endpoints.
 
     The rest of a warm-up changes all the time and matters only to the gate
-    beside the endpoint, which asks for its health.
+    beside the endpoint, which asks for its health when one begins.
     """
     digest = blake2b(digest_size=_DIGEST_BYTES)
     for endpoint in sorted(endpoints):
-        fixed = endpoint._replace(warm_up_left_seconds=0)
+        is_cold = endpoint.warm_up_left_seconds > 0
+        fixed = endpoint._replace(warm_up_left_seconds=is_cold)
         digest.update(msgspec.msgpack.encode(fixed))
     return digest.digest()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/warm_up.py
@@ -6,8 +6,6 @@
 UNKNOWN_RATE = 2.0
 # Requests above the rate that may start at once, as a part of a second.
 _BURST_SECONDS = 0.5
-
-
 # Part of the stated rate that is used; the bound lies at one half more.
 _USED_RATE = 1.2
 
@@ -15,8 +13,8 @@
 class WarmUp:
     """Limits the starts of requests while the upstream is or may be cold.
 
-    It counts as cold until a health answer or its registration says that it
-    is warm; a lost connection makes it doubtful again.
+    It counts as cold until a health answer says that it is warm; a lost
+    connection or a registration as cold makes it doubtful again.
     """
 
     def __init__(self, clock: MonotonicClock) -> None:
@@ -35,23 +33,23 @@
             return False
         return self.is_doubtful or self._clock.monotonic() < self._cold_until
 
+    @property
+    def left_seconds(self) -> float:
+        """Return how long the warm-up lasts after the last health answer."""
+        return max(self._cold_until - self._clock.monotonic(), 0)
+
     def describe(self) -> str:
         """Return the state and the figures behind it, for the log."""
         if not self.is_cold:
             return 'warm'
         state = 'doubtful' if self.is_doubtful else 'cold'
-        left = max(self._cold_until - self._clock.monotonic(), 0)
-        return f'{state}:{left:.1f}s:{self._tokens:.1f}of{self._rate:g}'
+        tokens = f'{self._tokens:.1f}of{self._rate:g}'
+        return f'{state}:{self.left_seconds:.1f}s:{tokens}'
 
     def limit_rate(self, requests_per_second: float) -> None:
         """Take the rate that a cold upstream bears; 0 means any."""
         self._rate = requests_per_second * _USED_RATE
 
-    def note_cold(self, seconds: float) -> None:
-        """Note how long the upstream stays cold."""
-        until = self._clock.monotonic() + seconds
-        self._cold_until = max(self._cold_until, until)
-
     def confirm(self, seconds: float) -> None:
         """Take a health answer that says how long it stays cold."""
         self.is_doubtful = False
--- a/packages/wagtailline-sidecar/tests/test_picture_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_picture_exchange.py
@@ -138,3 +138,10 @@
     leaving = make_endpoint(is_ready=False)
     assert digest_endpoints((cold,)) == digest_endpoints((colder,))
     assert digest_endpoints((cold,)) != digest_endpoints((leaving,))
+
+
+def test_begin_of_a_warm_up_changes_the_digest():
+    """Guards against a gate that never learns that its upstream is cold."""
+    warm = make_endpoint(warm_up_left_seconds=0)
+    cold = make_endpoint(warm_up_left_seconds=2.5)
+    assert digest_endpoints((warm,)) != digest_endpoints((cold,))
