Choose endpoints by the risk of a missed target

Cause: seconds of waiting were weighed against kilobytes between data centres with one fixed rate, whatever the target of the route.

Change: the cost of an endpoint is the risk that its answer misses the target, plus 0.02 for each kilobyte that crosses. The first of the two new tests fails on the previous version.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -102,6 +102,7 @@
                 state.admitted.route,
                 state.service,
                 state.tried,
+                state.admitted.target - self._clock.monotonic(),
             )
             if endpoint is None:
                 return Err(state.last)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -1,4 +1,4 @@
-"""Chooses the endpoint that is expected to answer a request first."""
+"""Chooses the endpoint that is most likely to answer in time."""
 
 import math
 from collections.abc import Set
@@ -24,18 +24,21 @@
 _FIRST_ANSWER_KILOBYTES = 2.0
 # The relative spread that keeps daemons with equal views apart.
 _NOISE = 0.1
-_LEAST_SUCCESS = 0.05
+_LEAST_SECONDS = 0.001
+# A request that is already late still prefers the faster endpoint.
+_LEAST_TARGET_SECONDS = 0.05
 
 
 class Distance(NamedTuple):
-    """What it costs to leave the data centre, in seconds of waiting.
+    """What it costs to leave the data centre.
 
-    ``seconds_per_kilobyte`` is the wait that operators accept to save one
+    ``seconds`` is the time on the way. ``misses_per_kilobyte`` is the risk
+    of missing the target, from 0 to 1, that operators accept to save one
     kilobyte between data centres.
     """
 
-    seconds: float = 0.03
-    seconds_per_kilobyte: float = 0.1
+    seconds: float = 0.005
+    misses_per_kilobyte: float = 0.02
 
 
 class _EndpointView:
@@ -52,7 +55,7 @@
 
 
 class Selector:
-    """Orders the endpoints of a service by the expected time of an answer."""
+    """Orders the endpoints of a service by the risk of missing the target."""
 
     def __init__(
         self,
@@ -82,8 +85,12 @@
         route: Route,
         service: str,
         tried: Set[str],
+        target_seconds: float,
     ) -> Endpoint | None:
-        """Return the best endpoint that was not tried yet."""
+        """Return the best endpoint that was not tried yet.
+
+        An answer within ``target_seconds`` from now is wanted.
+        """
         now = self._clock.monotonic()
         usable = [
             endpoint
@@ -102,7 +109,10 @@
         )
         if not candidates:
             return None
-        return min(candidates, key=lambda one: self._expect(one, route, now))
+        target = max(target_seconds, _LEAST_TARGET_SECONDS)
+        return min(
+            candidates, key=lambda one: self._cost(one, route, target, now)
+        )
 
     def note_sent(self, endpoint: Endpoint) -> None:
         """Count a request on its way to an endpoint."""
@@ -160,7 +170,26 @@
             doubled, MAX_HOLD_OFF_SECONDS
         )
 
+    def _cost(
+        self, endpoint: Endpoint, route: Route, target: float, now: float
+    ) -> float:
+        """Return the risk of a missed target, and what the way there costs."""
+        expected = self._expect(endpoint, route, now)
+        expected *= 1 + _NOISE * self._random.random()
+        cost = float(0)
+        if endpoint.data_centre != self._data_centre:
+            expected += self._distance.seconds
+            kilobytes = self._route_kilobytes.get(
+                route.name, _FIRST_ANSWER_KILOBYTES
+            )
+            kilobytes += _OVERHEAD_KILOBYTES
+            cost = kilobytes * self._distance.misses_per_kilobyte
+        # Times of answers are taken as exponentially distributed.
+        in_time = 1 - math.exp(-target / expected)
+        return cost + 1 - self._view(endpoint).success * in_time
+
     def _expect(self, endpoint: Endpoint, route: Route, now: float) -> float:
+        """Return the expected time of an answer in seconds."""
         view = self._view(endpoint)
         service = self._route_seconds.get(route.name, _FIRST_SECONDS)
         service *= view.speed
@@ -169,16 +198,7 @@
             0.5, age / REPORT_HALF_LIFE_SECONDS
         )
         wait += service * view.outstanding / max(endpoint.slots, 1)
-        expected = (wait + service) / max(view.success, _LEAST_SUCCESS)
-        expected *= 1 + _NOISE * self._random.random()
-        if endpoint.data_centre != self._data_centre:
-            kilobytes = self._route_kilobytes.get(
-                route.name, _FIRST_ANSWER_KILOBYTES
-            )
-            kilobytes += _OVERHEAD_KILOBYTES
-            expected += self._distance.seconds
-            expected += kilobytes * self._distance.seconds_per_kilobyte
-        return expected
+        return max(wait + service, _LEAST_SECONDS)
 
     def _view(self, endpoint: Endpoint) -> _EndpointView:
         view = self._views.get(endpoint.identity)
--- a/packages/wagtailline-sidecar/tests/test_selection.py
+++ b/packages/wagtailline-sidecar/tests/test_selection.py
@@ -25,7 +25,8 @@
 
 
 def choose(selector, picture, tried=frozenset(), route=ROUTE):
-    endpoint = selector.choose(picture, route, 'desk', tried)
+    target = route.target_seconds
+    endpoint = selector.choose(picture, route, 'desk', tried, target)
     return endpoint and endpoint.identity
 
 
@@ -88,7 +89,7 @@
     picture = make_picture(NEAR, NEXT)
     chosen = Counter()
     for _ in range(40):
-        endpoint = selector.choose(picture, ROUTE, 'desk', frozenset())
+        endpoint = selector.choose(picture, ROUTE, 'desk', frozenset(), 0.5)
         selector.note_sent(endpoint)
         chosen[endpoint.identity] += 1
     assert min(chosen.values()) >= 15
@@ -110,3 +111,27 @@
     selector.note_answer(NEAR, ROUTE, 0.15, 0, True)
     selector.note_wait(NEAR, 2.0)
     assert choose(selector, make_picture(NEAR, FAR)) == 'near'
+
+
+def test_slow_endpoint_at_home_is_left_when_the_target_is_at_risk():
+    """Guards against answers behind the target while others are faster.
+
+    The previous version weighed seconds against kilobytes whatever the
+    target was, and stayed at home here.
+    """
+    selector = make_selector()
+    selector.note_size(ROUTE, 3_000)
+    for _ in range(100):
+        selector.note_answer(NEAR, ROUTE, 0.35, 0, True)
+        selector.note_answer(FAR, ROUTE, 0.15, 0, True)
+    assert choose(selector, make_picture(NEAR, FAR)) == 'far'
+
+
+def test_slow_endpoint_at_home_is_used_while_the_target_is_met():
+    """Guards against bytes between data centres that save nobody a wait."""
+    selector = make_selector()
+    selector.note_size(ROUTE, 1_000)
+    for _ in range(100):
+        selector.note_answer(NEAR, ROUTE, 0.1, 0, True)
+        selector.note_answer(FAR, ROUTE, 0.05, 0, True)
+    assert choose(selector, make_picture(NEAR, FAR)) == 'near'
