Report demand only for accounts of which daemons hold shares

Cause: every daemon reported the demand of every account to every other one, also of accounts whose limit lies wholly at their home and whose loans do not depend on reports. The number of datagrams grows with the square of the daemons; a deployment of 85 VMs and 85 accounts has mostly such accounts.

Change: such accounts are left out, and an empty report is sent only once.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -52,7 +52,11 @@
 
     base.keeper.subscribe(follow)
     reporter = DemandReporter(
-        demand, notices, lambda: members.hosts, base.incarnation
+        demand,
+        notices,
+        lambda: members.hosts,
+        base.incarnation,
+        quotas.is_shared,
     )
     return QuotaSide(members, quotas, notices, reporter)
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand_reporter.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/demand_reporter.py
@@ -25,8 +25,14 @@
         notices: Notices,
         hosts: Callable[[], frozenset[str]],
         incarnation: int,
+        is_shared: Callable[[str], bool],
     ) -> None:
-        """Number reports from the incarnation of this process on."""
+        """Number reports from the incarnation of this process on.
+
+        Only accounts of which daemons hold shares, as ``is_shared`` tells,
+        are reported.
+        """
+        self._is_shared = is_shared
         self._demand = demand
         self._notices = notices
         self._hosts = hosts
@@ -54,8 +60,10 @@
         measured = {
             account: round(rate, 1)
             for account, rate in self._demand.measure().items()
-            if rate >= _LEAST_RATE
+            if rate >= _LEAST_RATE and self._is_shared(account)
         }
+        if not measured and not self._reported:
+            return
         now = asyncio.get_running_loop().time()
         is_due = now - self._reported_at >= REPEAT_SECONDS
         if not is_due and not _differ(self._reported, measured):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -162,9 +162,11 @@
         self._borrow = borrow
         self._buckets: dict[str, TokenBucket] = {}
         self._members = members
+        self._accounts: Mapping[str, ClientAccount] = {}
 
     def keep(self, accounts: Mapping[str, ClientAccount]) -> None:
         """Drop the buckets of accounts that are gone, and begin new ones."""
+        self._accounts = accounts
         for name in self._buckets.keys() - accounts.keys():
             self._buckets.pop(name)
         for account in accounts.values():
@@ -198,6 +200,13 @@
         if account.rate > 0 and bucket is not None:
             bucket.give_back(1)
 
+    def is_shared(self, name: str) -> bool:
+        """Tell whether daemons hold shares of an account's limit."""
+        account = self._accounts.get(name)
+        if account is None or account.rate <= 0:
+            return False
+        return self._members.local_part(self._tolerance().extend(account)) > 0
+
     def describe(self, account: ClientAccount) -> str:
         """Return the figures behind a decision, for the log."""
         share = self._demand.share(account.name, self._members.hosts)
