--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -38,7 +38,7 @@
     """
 
     seconds: float = 0.005
-    misses_per_kilobyte: float = 0.02
+    misses_per_kilobyte: float = 0.05
 
 
 class _EndpointView:
