Do the work for a new picture only when the picture is new

Every reading, several a second on each VM, ranked 85 hosts for each of 85 accounts, and digested the endpoints of asker and answerer anew.

Change: an unchanged picture keeps its objects and is not passed to the listeners, homes are ranked once for a set of hosts, digests are kept. Hosts that stay present keep their share without being noted again.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture.py
@@ -87,7 +87,7 @@
         return self._clock.boot() - self._confirmed_at
 
     def subscribe(self, listener: Callable[[Picture], None]) -> None:
-        """Call the listener with every new picture."""
+        """Call the listener with every picture that differs from the last."""
         self._listeners.append(listener)
 
     def apply(self, reading: Reading, asked_at: float) -> None:
@@ -110,7 +110,12 @@
         self._install(picture)
 
     def _install(self, picture: Picture) -> None:
-        former, self._picture = self._picture, picture
+        former = self._picture
+        if former is not None and _is_same(former, picture):
+            # What is derived from the former objects stays valid.
+            self._picture = former._replace(revision=picture.revision)
+            return
+        self._picture = picture
         configuration = picture.configuration
         if self._table is None or (
             self._table.configuration is not configuration
@@ -187,6 +192,15 @@
     return tuple(latest.values())
 
 
+def _is_same(former: Picture, picture: Picture) -> bool:
+    """Tell whether nothing but the revision differs."""
+    return (
+        former.configuration is picture.configuration
+        and former.closed_data_centres == picture.closed_data_centres
+        and former.endpoints == picture.endpoints
+    )
+
+
 def _differ(former: Picture, picture: Picture) -> bool:
     return (
         former.configuration is not picture.configuration
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
@@ -86,6 +86,7 @@
         self._numbers = itertools.count(1)
         self._channels: dict[str, Channel] = {}
         self._encoded: tuple[Configuration | None, bytes] = (None, b'')
+        self._digested: tuple[tuple[Endpoint, ...], bytes] = ((), b'')
 
     async def ask(self, host: str) -> Asked | None:
         """Return the picture of a peer; None when it has none to give."""
@@ -121,7 +122,7 @@
         version, digest = 0, _NO_DIGEST
         if picture is not None:
             version = picture.configuration.version
-            digest = digest_endpoints(picture.endpoints)
+            digest = self._digest(picture)
         await channel.send(PictureRequest(number, version, digest))
         while True:
             reply = await channel.receive()
@@ -149,7 +150,7 @@
         configuration = b''
         if request.version != picture.configuration.version:
             configuration = self._encode(picture)
-        digest = digest_endpoints(picture.endpoints)
+        digest = self._digest(picture)
         endpoints = b''
         if request.endpoints_digest != digest:
             endpoints = msgspec.msgpack.encode(picture.endpoints)
@@ -163,6 +164,13 @@
             tuple(sorted(picture.closed_data_centres)),
         )
 
+    def _digest(self, picture: Picture) -> bytes:
+        endpoints, digest = self._digested
+        if endpoints is not picture.endpoints or not digest:
+            digest = digest_endpoints(picture.endpoints)
+            self._digested = (picture.endpoints, digest)
+        return digest
+
     def _encode(self, picture: Picture) -> bytes:
         configuration, encoded = self._encoded
         if configuration is not picture.configuration:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/quotas.py
@@ -11,6 +11,7 @@
 
 # Daemons that were seen within this time still hold their shares.
 MEMBER_MEMORY_SECONDS = 30.0
+_FORGET_PERIOD_SECONDS = 1.0
 # Part of a limit that the daemons hold themselves, by demand. The rest is at
 # the account's home, for whoever has used up its own.
 LOCAL_PART = 0.4
@@ -51,26 +52,46 @@
         """Know no daemon."""
         self._clock = clock
         self._seen: dict[str, float] = {}
-        self.present: tuple[str, ...] = ()
+        self._present: tuple[str, ...] = ()
+        self._homes: dict[str, str | None] = {}
+        self._forgotten_at = float('-inf')
 
     @property
     def hosts(self) -> frozenset[str]:
         """Return the hosts that were present a short time ago."""
+        self._forget_old()
         return frozenset(self._seen)
 
     def __len__(self) -> int:
         """Return the number of daemons, at least this one."""
+        self._forget_old()
         return max(len(self._seen), 1)
 
+    def home(self, account: str) -> str | None:
+        """Return the present daemon that is the home of an account."""
+        if account not in self._homes:
+            self._homes[account] = owner(account, self._present)
+        return self._homes[account]
+
     def note(self, hosts: set[str]) -> None:
-        """Take the daemons that are present now."""
+        """Take the daemons that are present from now on."""
+        now = self._clock.monotonic()
+        self._seen.update(dict.fromkeys((*self._present, *hosts), now))
+        if hosts != set(self._present):
+            self._present = tuple(sorted(hosts))
+            # To rank every host for an account takes long in large fleets.
+            self._homes.clear()
+        self._forgotten_at = float('-inf')
+
+    def _forget_old(self) -> None:
         now = self._clock.monotonic()
-        self.present = tuple(sorted(hosts))
-        self._seen.update(dict.fromkeys(hosts, now))
+        if now - self._forgotten_at < _FORGET_PERIOD_SECONDS:
+            return
+        self._forgotten_at = now
         self._seen = {
             host: seen
             for host, seen in self._seen.items()
-            if now - seen < MEMBER_MEMORY_SECONDS
+            if host in self._present or now - seen < MEMBER_MEMORY_SECONDS
         }
 
     def local_part(self, limit: BucketLimit) -> float:
@@ -118,7 +139,7 @@
         former, self._buckets = self._buckets, {}
         self._accounts = accounts
         for name in accounts:
-            if owner(name, self._members.present) == self._host:
+            if self._members.home(name) == self._host:
                 bucket = former.get(name) or TokenBucket(start)
                 self._buckets[name] = bucket
 
@@ -183,7 +204,7 @@
             return 0
         wait = bucket.wait_seconds(self._limit(account))
         wait = min(wait, MAX_WAIT_SECONDS)
-        home = owner(account.name, self._members.present)
+        home = self._members.home(account.name)
         if home is None:
             return wait
         loan = await self._borrow(home, account, 1)
--- a/packages/wagtailline-sidecar/tests/test_picture.py
+++ b/packages/wagtailline-sidecar/tests/test_picture.py
@@ -105,3 +105,26 @@
     clock.now += 3
     keeper.apply(Reading(1, make_configuration(), (), frozenset()), asked_at)
     assert keeper.age_seconds == 3
+
+
+def test_unchanged_reading_is_not_passed_to_listeners():
+    """Guards against work for every reading in a fleet that stays the same.
+
+    The listeners rank all hosts for every account; a fleet of 85 VMs had no
+    processor time left for its requests.
+    """
+    keeper, clock, _ = make_keeper()
+    installed = []
+    keeper.subscribe(installed.append)
+    configuration = make_configuration()
+    for revision in (1, 2, 3):
+        endpoints = (make_endpoint(),)
+        reading = Reading(revision, configuration, endpoints, frozenset())
+        keeper.apply(reading, clock.now)
+        clock.now += 1
+    assert len(installed) == 1
+    assert keeper.current.revision == 3
+    assert keeper.age_seconds == 1
+    changed = (make_endpoint(warm_up_left_seconds=2),)
+    keeper.apply(Reading(4, configuration, changed, frozenset()), clock.now)
+    assert len(installed) == 2
--- a/packages/wagtailline-sidecar/tests/test_quotas.py
+++ b/packages/wagtailline-sidecar/tests/test_quotas.py
@@ -1,12 +1,14 @@
 """Limits of client accounts over the whole fleet."""
 
 import pytest
-from _fixtures import make_account
+from _fixtures import FakeClock, make_account
 from _quota_fleet import QuotaFleet
 
 from wagtailline_sidecar.quotas import (
     HOME_START_SECONDS,
     MAX_WAIT_SECONDS,
+    MEMBER_MEMORY_SECONDS,
+    Members,
     Tolerance,
 )
 
@@ -124,3 +126,29 @@
     for host, member in fleet.members.items():
         fleet.cut = {host}
         assert 0 < await member.quotas.take(small) <= MAX_WAIT_SECONDS
+
+
+def test_host_that_was_present_for_long_keeps_its_share_when_it_leaves():
+    """Guards against a share that is given away while it may still be used.
+
+    Members are noted only when they change, so the last note may be old.
+    """
+    clock = FakeClock()
+    members = Members(clock)
+    members.note({'10.0.0.1', '10.0.0.2'})
+    clock.now += 2 * MEMBER_MEMORY_SECONDS
+    members.note({'10.0.0.1'})
+    assert members.hosts == {'10.0.0.1', '10.0.0.2'}
+    clock.now += MEMBER_MEMORY_SECONDS + 1
+    members.note({'10.0.0.1'})
+    assert members.hosts == {'10.0.0.1'}
+
+
+def test_home_moves_when_its_host_leaves():
+    """Guards against loans from a daemon that is gone."""
+    members = Members(FakeClock())
+    members.note({'10.0.0.1', '10.0.0.2'})
+    home = members.home('studio')
+    (other,) = {'10.0.0.1', '10.0.0.2'} - {home}
+    members.note({other})
+    assert members.home('studio') == other
