Pass on what has changed in a configuration, compressed

A reader sent the whole configuration (96 kB for 1,500 routes and 85 accounts) to 26 daemons for each version, over a link of 10 Mbit/s.

Change: a peer that holds one of the last 16 versions gets the changes, the others the whole, both compressed. Counts guard against another base.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/picture_exchange.py
@@ -17,7 +17,12 @@
     DialFailed,
     Transport,
 )
-from wagtailline_sidecar.model import Configuration, Endpoint, Picture
+from wagtailline_sidecar._configuration_codec import (
+    ConfigurationCodec,
+    EncodedConfiguration,
+    decode_configuration,
+)
+from wagtailline_sidecar.model import Endpoint, Picture
 from wagtailline_sidecar.picture import PictureKeeper, Reading
 
 # A peer in the same data centre answers within milliseconds.
@@ -25,6 +30,7 @@
 _MILLISECONDS = 1000
 _DIGEST_BYTES = 8
 _NO_DIGEST = b''
+_NO_CONFIGURATION = EncodedConfiguration(0, b'')
 
 
 class PictureRequest(NamedTuple):
@@ -38,12 +44,14 @@
 class PictureReply(NamedTuple):
     """The picture of a peer, and how long ago it was known to be current.
 
-    ``configuration`` and ``endpoints`` are empty when the asker has them.
+    ``configuration`` and ``endpoints`` are empty when the asker has them. A
+    configuration holds the changes since ``base_version``, if that is not 0.
     """
 
     number: int
     age_ms: int
     revision: int
+    base_version: int
     configuration: bytes
     endpoints: bytes
     endpoints_digest: bytes
@@ -55,7 +63,6 @@
     85: PictureReply,
 }
 
-_CONFIGURATIONS = msgspec.msgpack.Decoder(Configuration)
 _ENDPOINTS = msgspec.msgpack.Decoder(tuple[Endpoint, ...])
 
 
@@ -85,7 +92,7 @@
         self._boot = boot
         self._numbers = itertools.count(1)
         self._channels: dict[str, Channel] = {}
-        self._encoded: tuple[Configuration | None, bytes] = (None, b'')
+        self._codec = ConfigurationCodec()
         self._digested: tuple[tuple[Endpoint, ...], bytes] = ((), b'')
 
     async def ask(self, host: str) -> Asked | None:
@@ -146,10 +153,10 @@
     def _answer(self, request: PictureRequest) -> PictureReply:
         picture = self._keeper.current
         if picture is None:
-            return PictureReply(request.number, -1, 0, b'', b'', b'', ())
-        configuration = b''
+            return PictureReply(request.number, -1, 0, 0, b'', b'', b'', ())
+        encoded = _NO_CONFIGURATION
         if request.version != picture.configuration.version:
-            configuration = self._encode(picture)
+            encoded = self._codec.encode(picture.configuration, request.version)
         digest = self._digest(picture)
         endpoints = b''
         if request.endpoints_digest != digest:
@@ -158,7 +165,8 @@
             request.number,
             max(int(self._keeper.age_seconds * _MILLISECONDS) + 1, 0),
             picture.revision,
-            configuration,
+            encoded.base_version,
+            encoded.content,
             endpoints,
             digest,
             tuple(sorted(picture.closed_data_centres)),
@@ -171,18 +179,14 @@
             self._digested = (picture.endpoints, digest)
         return digest
 
-    def _encode(self, picture: Picture) -> bytes:
-        configuration, encoded = self._encoded
-        if configuration is not picture.configuration:
-            encoded = msgspec.msgpack.encode(picture.configuration)
-            self._encoded = (picture.configuration, encoded)
-        return encoded
-
     def _decode(self, reply: PictureReply) -> Reading:
+        picture = self._keeper.current
         configuration = None
         if reply.configuration:
-            configuration = _CONFIGURATIONS.decode(reply.configuration)
-        picture = self._keeper.current
+            configuration = decode_configuration(
+                EncodedConfiguration(reply.base_version, reply.configuration),
+                picture.configuration if picture else None,
+            )
         endpoints = picture.endpoints if picture else ()
         if reply.endpoints:
             endpoints = _ENDPOINTS.decode(reply.endpoints)
