Sort the modules of the daemon into packages by matter

Cause: 38 flat modules with prefixes in their names did not tell a new reader where a rule lives.

Change: packages ingress, gate, upstream, monitoring, operators and composition, each with a thin public module; the tests of ingress, gate and upstream follow. Settings and events stay at the top, since the sidecar shares them. No line of logic changed.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_base.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_base.py
@@ -16,9 +16,13 @@
 from wagtailline.ports import Clock, LoopClock
 from wagtailline.snapshot import SnapshotStore
 from wagtailline_daemon.events import EventLog, open_event_log
-from wagtailline_daemon.metrics import Metrics, open_metrics
+from wagtailline_daemon.monitoring import (
+    Metrics,
+    Tracing,
+    open_metrics,
+    open_tracing,
+)
 from wagtailline_daemon.settings import DaemonSettings
-from wagtailline_daemon.traces import Tracing, open_tracing
 
 _MILLISECONDS = 1000
 
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_calls.py
@@ -10,15 +10,13 @@
 from wagtailline.routing import Handlers, Position, Router
 from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
 from wagtailline.verification import CallVerifier
-from wagtailline_daemon._compose_base import Base
-from wagtailline_daemon._compose_mesh import Mesh
-from wagtailline_daemon._ingress_allowance import IngressAllowance
-from wagtailline_daemon.call_metrics import CallMetrics
+from wagtailline_daemon.composition._base import Base
+from wagtailline_daemon.composition._mesh import Mesh
 from wagtailline_daemon.daemon_events import CallFailed
-from wagtailline_daemon.gate_service import GateParts, GateService
-from wagtailline_daemon.gate_supervisor import GateSupervisor
-from wagtailline_daemon.ingress import Ingress
-from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
+from wagtailline_daemon.gate import GateParts, GateService, GateSupervisor
+from wagtailline_daemon.ingress import Ingress, IngressAllowance
+from wagtailline_daemon.monitoring import CallMetrics
+from wagtailline_daemon.upstream import UpstreamClient, UpstreamSettings
 
 # Until the first snapshot gives the endpoint's own numbers.
 _FIRST_SLOTS = 1
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_daemon.py
@@ -6,19 +6,23 @@
 
 from wagtailline.admission import Gate
 from wagtailline.ports import Address
-from wagtailline_daemon._compose_base import Base, build_base
-from wagtailline_daemon._compose_calls import CallPath, build_call_path
-from wagtailline_daemon._compose_mesh import Mesh, build_mesh
+from wagtailline_daemon.composition._base import Base, build_base
+from wagtailline_daemon.composition._calls import CallPath, build_call_path
+from wagtailline_daemon.composition._mesh import Mesh, build_mesh
 from wagtailline_daemon.daemon_events import (
     DaemonStarted,
     DaemonStopped,
     DaemonStopping,
 )
-from wagtailline_daemon.execution_confirmer import ExecutionConfirmer
-from wagtailline_daemon.http_server import HttpServer, operator_config
+from wagtailline_daemon.gate import ExecutionConfirmer
 from wagtailline_daemon.ingress import ingress_config
-from wagtailline_daemon.monitor import Monitor
-from wagtailline_daemon.operator_api import StatusBoard, build_operator_app
+from wagtailline_daemon.monitoring import Monitor
+from wagtailline_daemon.operators import (
+    HttpServer,
+    StatusBoard,
+    build_operator_app,
+    operator_config,
+)
 from wagtailline_daemon.settings import DaemonSettings
 
 STOPPING = 'stopping'
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_compose_mesh.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_mesh.py
@@ -14,8 +14,8 @@
 from wagtailline.peer_requests import PeerRequests
 from wagtailline.peers import PeerLinks
 from wagtailline.streams import StreamTransport
-from wagtailline_daemon._compose_base import Base
-from wagtailline_daemon._published_names import PublishedNames
+from wagtailline_daemon.composition._base import Base
+from wagtailline_daemon.composition._published_names import PublishedNames
 from wagtailline_daemon.daemon_events import FrameRejected, VmListRejected
 from wagtailline_daemon.http_source import HttpSource
 
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/execution_confirmer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate/_confirmer.py
@@ -22,7 +22,7 @@
 from wagtailline.membership import MembershipService
 from wagtailline.ports import Clock
 from wagtailline_daemon._background import BackgroundTask
-from wagtailline_daemon.gate_service import GateService
+from wagtailline_daemon.gate._service import GateService
 
 PERIOD_SECONDS = 0.5
 # A report asks a reader of each data centre, so it is made only by gates
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_keyed_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate/_keyed_calls.py
@@ -25,7 +25,7 @@
     Run,
     StoredAnswer,
 )
-from wagtailline_daemon._request_content import RequestContent
+from wagtailline_daemon.gate._request_content import RequestContent
 
 MAX_STORED_BYTES = 64 * 1024
 _REPLAYED = (b'wagtailline-replayed', b'1')
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/gate_service.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/gate/_service.py
@@ -18,13 +18,13 @@
 from wagtailline.routing import IDEMPOTENT_METHODS
 from wagtailline.snapshot import Snapshot
 from wagtailline.verification import CallVerifier
-from wagtailline_daemon._gate_outcomes import (
+from wagtailline_daemon.gate._keyed_calls import KeyedCalls
+from wagtailline_daemon.gate._outcomes import (
     observe_answer,
     outcome_of_refusal,
     refuse_admission,
 )
-from wagtailline_daemon._keyed_calls import KeyedCalls
-from wagtailline_daemon._request_content import (
+from wagtailline_daemon.gate._request_content import (
     RequestContent,
     identify_content,
     make_fingerprint,
--- /dev/null
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP ingress: turns requests of callers into calls."""
+
+from wagtailline_daemon.ingress._allowance import IngressAllowance
+from wagtailline_daemon.ingress._handler import (
+    AllowanceRefusal,
+    Ingress,
+    IngressProtocol,
+    ingress_config,
+)
+from wagtailline_daemon.ingress._headers import digest_key
+
+__all__ = (
+    'AllowanceRefusal',
+    'Ingress',
+    'IngressAllowance',
+    'IngressProtocol',
+    'digest_key',
+    'ingress_config',
+)
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_answer.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_answer.py
@@ -12,8 +12,8 @@
     Refusal,
     WholeBody,
 )
-from wagtailline_daemon._ingress_headers import pass_answer_headers
-from wagtailline_daemon._ingress_refusals import problem_body, problem_headers
+from wagtailline_daemon.ingress._headers import pass_answer_headers
+from wagtailline_daemon.ingress._refusals import problem_body, problem_headers
 
 Message = MutableMapping[str, Any]
 Send = Callable[[Message], Awaitable[None]]
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/ingress.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_handler.py
@@ -19,21 +19,21 @@
 from wagtailline.objects import Route
 from wagtailline.routing import RouteIndex
 from wagtailline.snapshot import Snapshot, SnapshotStore
-from wagtailline_daemon._ingress_answer import (
+from wagtailline_daemon.ingress._answer import (
     Message,
     Send,
     send_answer,
     send_refusal,
 )
-from wagtailline_daemon._ingress_headers import (
+from wagtailline_daemon.ingress._headers import (
     RequestHeaders,
     digest_key,
     read_headers,
 )
-from wagtailline_daemon._ingress_protocol import IngressProtocol
-from wagtailline_daemon._ingress_refusals import problem_status
-from wagtailline_daemon._ingress_server import ingress_config
-from wagtailline_daemon._ingress_target import match_target
+from wagtailline_daemon.ingress._protocol import IngressProtocol
+from wagtailline_daemon.ingress._refusals import problem_status
+from wagtailline_daemon.ingress._server import ingress_config
+from wagtailline_daemon.ingress._target import match_target
 
 __all__ = (
     'Allowance',
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_protocol.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_protocol.py
@@ -16,7 +16,7 @@
 )
 
 from wagtailline.calls import Executed, Refusal
-from wagtailline_daemon._ingress_refusals import problem_body
+from wagtailline_daemon.ingress._refusals import problem_body
 
 MAX_HEAD_BYTES = 64 * 1024
 _FRAMING = frozenset((b'content-length', b'transfer-encoding'))
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_ingress_server.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_server.py
@@ -4,7 +4,7 @@
 
 import uvicorn
 
-from wagtailline_daemon._ingress_protocol import IngressProtocol
+from wagtailline_daemon.ingress._protocol import IngressProtocol
 
 # A new connection costs a caller about 1 ms, so idle ones are kept.
 KEEP_ALIVE_SECONDS = 30
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/call_metrics.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitoring/_call_metrics.py
@@ -7,7 +7,7 @@
 from result import Ok, Result
 
 from wagtailline.calls import Answer, Body, CallHandler, CallRequest, Refusal
-from wagtailline_daemon.metrics import Metrics
+from wagtailline_daemon.monitoring._metrics import Metrics
 
 # Sending a datagram for each call would cost more than a tenth of the time
 # that the whole path may add, so latencies are kept in a sample.
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/monitor.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitoring/_monitor.py
@@ -8,7 +8,6 @@
 from wagtailline.ports import Clock
 from wagtailline.snapshot import SnapshotStore
 from wagtailline_daemon._background import BackgroundTask
-from wagtailline_daemon.call_metrics import CallMetrics
 from wagtailline_daemon.daemon_events import (
     EndpointSuperseded,
     SnapshotAging,
@@ -16,7 +15,8 @@
     VersionKeptOut,
 )
 from wagtailline_daemon.events import EventLog
-from wagtailline_daemon.metrics import Metrics
+from wagtailline_daemon.monitoring._call_metrics import CallMetrics
+from wagtailline_daemon.monitoring._metrics import Metrics
 
 PERIOD_SECONDS = 10.0
 # Readers confirm every 6 s, so this age means that the source or the way to
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/traces.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/monitoring/_traces.py
@@ -52,7 +52,7 @@
     if exporter == 'none':
         return NoTracing()
     # Imported here, so that only daemons that trace pay for it.
-    from wagtailline_daemon import _spans
+    from wagtailline_daemon.monitoring import _spans
 
     opened = (
         _spans.FileSpanExporter(Path(target))
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/operator_api.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/operators/_api.py
@@ -9,7 +9,7 @@
 from wagtailline.distribution import FleetReport
 from wagtailline.membership import MemberTable
 from wagtailline.snapshot import SnapshotStore
-from wagtailline_daemon.explain import RequestShape, explain_request
+from wagtailline_daemon.operators._explain import RequestShape, explain_request
 
 Report = Callable[[], object]
 FleetReporter = Callable[[], Awaitable[FleetReport]]
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/upstream_client.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_client.py
@@ -18,12 +18,12 @@
     WholeBody,
 )
 from wagtailline.ports import Address
-from wagtailline_daemon._upstream_exchange import (
+from wagtailline_daemon.upstream._exchange import (
     Exchange,
     MalformedAnswer,
     UpstreamReset,
 )
-from wagtailline_daemon._upstream_request import RequestHead, encode_head
+from wagtailline_daemon.upstream._request import RequestHead, encode_head
 
 # Below the 5 s after which common servers close an idle connection, so that
 # a call is not sent on a connection that the upstream is about to close.
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/_upstream_exchange.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_exchange.py
@@ -20,7 +20,7 @@
     Deadline,
     WholeBody,
 )
-from wagtailline_daemon._upstream_request import RequestHead
+from wagtailline_daemon.upstream._request import RequestHead
 
 MAX_HEADER_BYTES = 32 * 1024
 READ_AHEAD_BYTES = 64 * 1024
--- a/packages/wagtailline-daemon/tests/test_execution_confirmer.py
+++ b/packages/wagtailline-daemon/tests/gate/test_confirmer.py
@@ -6,7 +6,7 @@
 
 from wagtailline.distribution import DataCentreReport, FleetReport
 from wagtailline.executions import Instant, Ownership
-from wagtailline_daemon.execution_confirmer import judge_report
+from wagtailline_daemon.gate import judge_report
 
 
 def _report(*versions):
--- a/packages/wagtailline-daemon/tests/test_keyed_calls.py
+++ b/packages/wagtailline-daemon/tests/gate/test_keyed_calls.py
@@ -8,8 +8,7 @@
 from wagtailline.admission import Ticket
 from wagtailline.calls import CallRequest, Refusal, WholeBody
 from wagtailline.executions import ExecutionRecords, Instant, Ownership
-from wagtailline_daemon._keyed_calls import KeyedCalls
-from wagtailline_daemon._request_content import RequestContent
+from wagtailline_daemon.gate import KeyedCalls, RequestContent
 
 _NOW = Instant(10_000, 10_000)
 _KEY = '00000098-9680-7000-8000-000000000000'
--- a/packages/wagtailline-daemon/tests/test_ingress.py
+++ b/packages/wagtailline-daemon/tests/ingress/test_handler.py
@@ -23,8 +23,12 @@
     object_id,
 )
 from wagtailline.snapshot import Snapshot, SnapshotStore
-from wagtailline_daemon._ingress_headers import digest_key
-from wagtailline_daemon.ingress import Ingress, IngressProtocol, ingress_config
+from wagtailline_daemon.ingress import (
+    Ingress,
+    IngressProtocol,
+    digest_key,
+    ingress_config,
+)
 
 _KEY = b'k3y-of-studio-0123456789'
 _AUTH = b'Authorization: Bearer ' + _KEY + b'\r\n'
--- a/packages/wagtailline-daemon/tests/test_call_path.py
+++ b/packages/wagtailline-daemon/tests/test_call_path.py
@@ -17,7 +17,7 @@
 from wagtailline.snapshot import Snapshot, SnapshotStore
 from wagtailline.streams import StreamTransport
 from wagtailline_daemon.ingress import Ingress, ingress_config
-from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
+from wagtailline_daemon.upstream import UpstreamClient, UpstreamSettings
 
 _HOST = '127.0.0.1'
 
--- a/packages/wagtailline-daemon/tests/test_upstream_client.py
+++ b/packages/wagtailline-daemon/tests/upstream/test_client.py
@@ -14,7 +14,7 @@
     WholeBody,
 )
 from wagtailline.ports import Address
-from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
+from wagtailline_daemon.upstream import UpstreamClient, UpstreamSettings
 
 _OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 _LARGE = b'HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n'
--- a/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/bench/_latency_servers.py
@@ -34,9 +34,13 @@
 from wagtailline.routing import Handlers, Position, Router
 from wagtailline.snapshot import Snapshot, SnapshotStore
 from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
-from wagtailline_daemon._ingress_headers import digest_key
-from wagtailline_daemon.ingress import AllowanceRefusal, Ingress, ingress_config
-from wagtailline_daemon.upstream_client import UpstreamClient, UpstreamSettings
+from wagtailline_daemon.ingress import (
+    AllowanceRefusal,
+    Ingress,
+    digest_key,
+    ingress_config,
+)
+from wagtailline_daemon.upstream import UpstreamClient, UpstreamSettings
 
 HOST = '127.0.0.1'
 KEY = b'benchmark-key-0123456789abcdef'
