--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_codec.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_codec.py
@@ -16,7 +16,7 @@
 
 # Versions that a peer may still hold while newer ones follow quickly.
 KEPT_VERSIONS = 16
-# A published configuration has a megabyte at most.
+# Bounds what a peer can make this process unpack.
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 _FASTEST = 1
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -20,7 +20,8 @@
 # Until the endpoint has registered its slots.
 _FIRST_SLOTS = 1
 _DEFAULT_HEALTH_PATH = '/health'
-# Entries are this much older than a health answer without telling more.
+# A reported warm-up may exceed the known one by this much and be the same:
+# the entry was written before the health answer.
 _REPORT_MARGIN_SECONDS = 1.0
 
 
