--- a/packages/wagtailline-sidecar/tests/test_admission.py
+++ b/packages/wagtailline-sidecar/tests/test_admission.py
@@ -126,3 +126,18 @@
     admission, _ = make_admission(accounts=(account,))
     admitted = await admission.admit(request(key='studio-key'))
     assert admitted.ok_value.priority == 0
+
+
+async def test_requests_of_upstreams_are_marked_as_nested():
+    """Guards against calls of running requests that wait like new ones.
+
+    Upstreams send no key, so their requests come on open routes.
+    """
+    open_route = make_route('open', prefix='/open/', is_public=True)
+    admission, _ = make_admission(
+        make_route(), open_route, accounts=(make_account(),)
+    )
+    call = (await admission.admit(request('/open/1'))).ok_value
+    fresh = (await admission.admit(request(key='studio-key'))).ok_value
+    assert call.is_nested
+    assert not fresh.is_nested
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -50,7 +50,15 @@
     raise BodyTruncated
 
 
-def forward(gates, *, kind=RequestKind.SAFE, attempts=2, ratio=0.2, size=6):
+def forward(
+    gates,
+    *,
+    kind=RequestKind.SAFE,
+    attempts=2,
+    ratio=0.2,
+    size=6,
+    is_nested=False,
+):
     clock = FakeClock()
     selector = Selector(clock, Random(1), 'oslo-a', Distance())
     forwarder = Forwarder(selector, gates, clock, ratio, lambda: 1)
@@ -60,7 +68,9 @@
     )
     route = make_route(kind=kind, max_attempts=attempts)
     picture = make_picture(*endpoints)
-    admitted = Admitted(picture, route, None, 'id', 1, clock.now + 1, 0)
+    admitted = Admitted(
+        picture, route, None, 'id', 1, clock.now + 1, 0, is_nested
+    )
     state = Forwarding(admitted, 'desk')
     content = Content('GET', '/status/', (), WholeBody())
     return state, forwarder.forward(state, content)
@@ -169,3 +179,12 @@
         await forwarder.forward(state, content)
         clock.now += 0.01
     assert len(gates.calls) - 200 <= 200 * 0.1
+
+
+@pytest.mark.parametrize('is_nested', [True, False])
+async def test_gate_learns_that_a_request_is_nested(is_nested):
+    """Guards against calls of running requests that wait like new ones."""
+    gates = Gates(OK)
+    _, work = forward(gates, is_nested=is_nested)
+    await work
+    assert gates.calls[0].depth == int(is_nested)
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_gate_service.py
@@ -0,0 +1,44 @@
+"""Calls of other daemons at the gate."""
+
+import pytest
+from _fixtures import FakeClock
+from result import Err
+
+from wagtailline.calls import CallRequest, Refusal, WholeBody
+from wagtailline_sidecar.gate_service import GateService
+
+REFUSED = Err(Refusal('wait_too_long', 'no'))
+
+
+class RecordedGate:
+    """Gate that refuses every ticket and keeps the last one."""
+
+    in_progress = 0
+    queued = 0
+
+    async def admit(self, ticket):
+        self.ticket = ticket
+        return REFUSED
+
+    def describe_warm_up(self) -> str:
+        return 'warm'
+
+
+class OpenUpstream:
+    """Belief that the local upstream takes requests."""
+
+    refusal_reason = ''
+
+
+@pytest.mark.parametrize('depth', [0, 1])
+async def test_ticket_tells_whether_a_request_is_nested(depth):
+    """Guards against calls of running requests that wait like new ones."""
+    gate = RecordedGate()
+    service = GateService(
+        gate, None, OpenUpstream(), FakeClock(), lambda event: None
+    )
+    request = CallRequest(
+        1, 'host', 'status', '', '', 'GET', '/', (), 1000, depth=depth
+    )
+    assert await service(request, WholeBody()) == REFUSED
+    assert gate.ticket.is_nested == bool(depth)
--- a/packages/wagtailline-sidecar/tests/test_picture_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_picture_exchange.py
@@ -131,6 +131,16 @@
     assert not await asker.take_over()
 
 
+async def test_each_change_of_endpoints_arrives():
+    """Guards against a kept digest that hides a later change."""
+    reader, asker = await make_pair()
+    first, second = make_endpoint('e1'), make_endpoint('e2')
+    for revision, listed in enumerate(((first,), (first, second), (second,))):
+        reader.read(revision, CONFIGURATION, listed)
+        await asker.take_over()
+        assert asker.keeper.current.endpoints == reader.keeper.current.endpoints
+
+
 def test_heartbeats_do_not_change_the_digest():
     """Guards against a list of endpoints in each answer."""
     cold = make_endpoint(warm_up_left_seconds=2.5)
--- a/packages/wagtailline-sidecar/tests/test_selection.py
+++ b/packages/wagtailline-sidecar/tests/test_selection.py
@@ -135,3 +135,15 @@
         selector.note_answer(NEAR, ROUTE, 0.1, 0, True)
         selector.note_answer(FAR, ROUTE, 0.05, 0, True)
     assert choose(selector, make_picture(NEAR, FAR)) == 'near'
+
+
+def test_endpoint_that_fails_a_part_as_fast_as_others_gets_less():
+    """Guards against an endpoint that looks as good as one without faults."""
+    selector = make_selector()
+    for _ in range(40):
+        selector.note_answer(NEAR, ROUTE, 0.1, 0, True)
+        selector.note_answer(NEXT, ROUTE, 0.1, 0, True)
+    for _ in range(10):
+        selector.note_answer(NEXT, ROUTE, 0.1, 0, False)
+    picture = make_picture(NEXT, NEAR)
+    assert {choose(selector, picture) for _ in range(20)} == {'near'}
