--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 import msgspec
+from result import Err, Ok, Result
 
 from wagtailline.codec import Message
 from wagtailline.messages import Hello
@@ -83,6 +84,12 @@
     current_at: float
 
 
+class PeerUnavailable(NamedTuple):
+    """A peer supplied no snapshot; ``reason`` says why."""
+
+    reason: str
+
+
 class SnapshotExchange:
     """Client and server for snapshot requests between daemons."""
 
@@ -105,23 +112,21 @@
         self._codec = ConfigurationCodec()
         self._cached_digest: tuple[tuple[Endpoint, ...], bytes] = ((), b'')
 
-    async def fetch(self, host: str) -> PeerReading | None:
-        """Return the snapshot of a peer, or None if the peer supplies none."""
+    async def fetch(self, host: str) -> Result[PeerReading, PeerUnavailable]:
+        """Return the snapshot of a peer, or why the peer supplies none."""
         requested_at = self._boot()
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_SECONDS):
                 reply = await self._request_reply(host)
-        except (TimeoutError, ChannelClosed, DialFailed):
-            self._close_channel(host)
-            return None
-        if reply is None or reply.age_ms < 0:
-            return None
+        except (TimeoutError, ChannelClosed, DialFailed) as failure:
+            return self._close_and_fail(host, type(failure).__name__)
+        if reply.age_ms < 0:
+            return Err(PeerUnavailable('no snapshot'))
         current_at = requested_at - reply.age_ms / _MILLISECONDS_PER_SECOND
         try:
-            return PeerReading(self._decode_reply(reply), current_at)
-        except msgspec.DecodeError:
-            self._close_channel(host)
-            return None
+            return Ok(PeerReading(self._decode_reply(reply), current_at))
+        except msgspec.DecodeError as problem:
+            return self._close_and_fail(host, f'malformed reply: {problem}')
 
     async def serve(self, channel: Channel) -> None:
         """Answer the requests of one peer until its connection closes."""
@@ -132,7 +137,7 @@
                 return channel.close()
             await channel.send(self._build_reply(request))
 
-    async def _request_reply(self, host: str) -> SnapshotReply | None:
+    async def _request_reply(self, host: str) -> SnapshotReply:
         channel = self._channels.get(host) or await self._open_channel(host)
         number = next(self._numbers)
         snapshot = self._snapshots.current
@@ -155,10 +160,12 @@
         await channel.receive()
         return channel
 
-    def _close_channel(self, host: str) -> None:
+    def _close_and_fail(self, host: str, reason: str) -> Err[PeerUnavailable]:
+        """Close the connection, because a late reply could arrive on it."""
         channel = self._channels.pop(host, None)
         if channel is not None:
             channel.close()
+        return Err(PeerUnavailable(reason))
 
     def _build_reply(self, request: SnapshotRequest) -> SnapshotReply:
         snapshot = self._snapshots.current
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -12,7 +12,7 @@
 from wagtailline.ports import SourceUnavailable
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.snapshot import Reading, SnapshotStore
-from wagtailline_sidecar.snapshot_exchange import PeerReading
+from wagtailline_sidecar.snapshot_exchange import PeerReading, PeerUnavailable
 
 # One daemon per data centre reads the source at this period; the others fetch
 # its snapshot.
@@ -31,8 +31,13 @@
 MIN_RETRY_SECONDS = 0.15
 MAX_RETRY_SECONDS = 0.6
 _MAX_DOUBLINGS = 4
+# Reported as the age when there is no snapshot yet.
+_MAX_REPORTED_SECONDS = 86_400
+ORIGIN_SOURCE = 'source'
+OUTCOME_OK = 'ok'
 
-FetchFromPeer = Callable[[str], Awaitable[PeerReading | None]]
+FetchFromPeer = Callable[[str], Awaitable[Result[PeerReading, PeerUnavailable]]]
+_MILLISECONDS_PER_SECOND = 1000
 
 
 class Source(Protocol):
@@ -69,6 +74,19 @@
     picture_age_seconds: float
 
 
+class RefreshEnded(NamedTuple):
+    """Event: an attempt to refresh the snapshot has ended.
+
+    ``origin`` is the host of the peer, or ``source``. ``outcome`` is ``ok`` or
+    the reason of the failure.
+    """
+
+    origin: str
+    outcome: str
+    took_ms: int
+    picture_age_ms: int
+
+
 class Location(NamedTuple):
     """Host and data centre of this daemon."""
 
@@ -159,16 +177,21 @@
         ]
 
     async def _refresh_from(self, host: str) -> bool:
-        peer_reading = await self._fetch(host)
-        if peer_reading is None:
-            return False
-        if (
-            self._clock.boot() - peer_reading.current_at
-            > MAX_PEER_SNAPSHOT_AGE_SECONDS
-        ):
-            return False
+        requested_at = self._clock.boot()
+        match await self._fetch(host):
+            case Ok(peer_reading):
+                outcome = self._apply_peer_reading(peer_reading)
+            case Err(unavailable):
+                outcome = unavailable.reason
+        self._report_refresh(host, outcome, requested_at)
+        return outcome == OUTCOME_OK
+
+    def _apply_peer_reading(self, peer_reading: PeerReading) -> str:
+        age_seconds = self._clock.boot() - peer_reading.current_at
+        if age_seconds > MAX_PEER_SNAPSHOT_AGE_SECONDS:
+            return f'snapshot is {age_seconds:.3f} s old'
         self._snapshots.apply(peer_reading.reading, peer_reading.current_at)
-        return True
+        return OUTCOME_OK
 
     async def _read(self) -> float:
         requested_at = self._clock.boot()
@@ -180,6 +203,7 @@
                     )
                 self._failures = 0
                 self._snapshots.apply(reading, requested_at)
+                self._report_refresh(ORIGIN_SOURCE, OUTCOME_OK, requested_at)
                 # The age of a snapshot counts from the start of its reading,
                 # so the duration of a reading is deducted from the period.
                 duration = self._clock.boot() - requested_at
@@ -187,6 +211,9 @@
                     READ_PERIOD_SECONDS - duration, MIN_READ_PERIOD_SECONDS
                 )
             case Err(failure):
+                self._report_refresh(
+                    ORIGIN_SOURCE, failure.reason, requested_at
+                )
                 return await self._handle_failure(failure)
 
     async def _handle_failure(self, failure: SourceUnavailable) -> float:
@@ -206,6 +233,20 @@
         delay = min(math.ldexp(MIN_RETRY_SECONDS, doublings), MAX_RETRY_SECONDS)
         return delay * (1 + self._random.random())
 
+    def _report_refresh(
+        self, origin: str, outcome: str, requested_at: float
+    ) -> None:
+        took_seconds = self._clock.boot() - requested_at
+        age_seconds = min(self._snapshots.age_seconds, _MAX_REPORTED_SECONDS)
+        self._observe(
+            RefreshEnded(
+                origin,
+                outcome,
+                int(took_seconds * _MILLISECONDS_PER_SECOND),
+                int(age_seconds * _MILLISECONDS_PER_SECOND),
+            )
+        )
+
     def _record_reader(self, reader: str, reason: str) -> None:
         if reader != self._reader:
             self._reader = reader
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -13,6 +13,11 @@
 from wagtailline_daemon.events import EventLog, event_name
 from wagtailline_sidecar.gate_service import GateCallEnded
 from wagtailline_sidecar.ingress import RequestEnded
+from wagtailline_sidecar.source_reader import (
+    ORIGIN_SOURCE,
+    OUTCOME_OK,
+    RefreshEnded,
+)
 
 _LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -28,6 +33,8 @@
     10,
 )
 _MILLISECONDS_PER_SECOND = 1000
+# Faster successful refreshes are counted but not logged.
+_SLOW_REFRESH_MS = 250
 
 
 class Telemetry:
@@ -75,9 +82,12 @@
             registry=self._registry,
         )
 
+        self._create_refresh_metrics()
+
     def observe(self, event: NamedTuple) -> None:
         """Log an event and update the metrics for it."""
-        self._events.info(event)
+        if _is_logged(event):
+            self._events.info(event)
         match event:
             case RequestEnded():
                 self._requests.labels(event.status, event.reason).inc()
@@ -91,9 +101,43 @@
                 )
                 self._occupancy.labels('in_progress').set(event.in_progress)
                 self._occupancy.labels('queued').set(event.queued)
+            case RefreshEnded():
+                self._observe_refresh(event)
             case _:
                 self._events_total.labels(event_name(event)).inc()
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
+
+    def _create_refresh_metrics(self) -> None:
+        self._refresh_seconds = Histogram(
+            'wagtailline_snapshot_refresh_seconds',
+            'Time of attempts to refresh the snapshot, by origin and result',
+            ['origin', 'result'],
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._snapshot_age_seconds = Histogram(
+            'wagtailline_snapshot_age_seconds',
+            'Age of the snapshot after each attempt to refresh it',
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+
+    def _observe_refresh(self, event: RefreshEnded) -> None:
+        origin = ORIGIN_SOURCE if event.origin == ORIGIN_SOURCE else 'peer'
+        result = 'ok' if event.outcome == OUTCOME_OK else 'failed'
+        self._refresh_seconds.labels(origin, result).observe(
+            event.took_ms / _MILLISECONDS_PER_SECOND
+        )
+        self._snapshot_age_seconds.observe(
+            event.picture_age_ms / _MILLISECONDS_PER_SECOND
+        )
+
+
+def _is_logged(event: NamedTuple) -> bool:
+    """Return whether an event is logged; fast refreshes are only counted."""
+    if not isinstance(event, RefreshEnded):
+        return True
+    return event.outcome != OUTCOME_OK or event.took_ms >= _SLOW_REFRESH_MS
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -7,6 +7,7 @@
     make_endpoint,
     make_route,
 )
+from result import Ok
 
 from wagtailline.codec import Codec
 from wagtailline.messages import CONNECTION_KINDS, PURPOSE_CONTROL, Hello
@@ -53,11 +54,13 @@
         self.snapshots.apply(reading, self.clock.now)
 
     async def refresh(self) -> bool:
-        peer_reading = await self.exchange.fetch('peer')
-        if peer_reading is None:
-            return False
-        self.snapshots.apply(peer_reading.reading, peer_reading.current_at)
-        return True
+        match await self.exchange.fetch('peer'):
+            case Ok(peer_reading):
+                self.snapshots.apply(
+                    peer_reading.reading, peer_reading.current_at
+                )
+                return True
+        return False
 
 
 async def make_pair() -> tuple[LoopbackDaemon, LoopbackDaemon]:
@@ -111,7 +114,7 @@
     """Guards against a stale reply, if the client was suspended meanwhile."""
     server, client = await make_pair()
     server.read(5, CONFIGURATION, ENDPOINTS)
-    peer_reading = await client.exchange.fetch('peer')
+    peer_reading = (await client.exchange.fetch('peer')).ok_value
     client.clock.now += 10
     client.snapshots.apply(peer_reading.reading, peer_reading.current_at)
     assert client.snapshots.age_seconds >= 10
--- a/packages/wagtailline-sidecar/tests/test_source_reader.py
+++ b/packages/wagtailline-sidecar/tests/test_source_reader.py
@@ -5,17 +5,20 @@
 
 import pytest
 from _fixtures import make_configuration, make_endpoint
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from wagtailline.placement import rank_nodes
 from wagtailline.ports import Address, SourceUnavailable
 from wagtailline_sidecar.snapshot import Reading, SnapshotStore
-from wagtailline_sidecar.snapshot_exchange import PeerReading
+from wagtailline_sidecar.snapshot_exchange import PeerReading, PeerUnavailable
 from wagtailline_sidecar.source_reader import (
     FETCH_PERIOD_SECONDS,
     MAX_PEER_SNAPSHOT_AGE_SECONDS,
+    ORIGIN_SOURCE,
+    OUTCOME_OK,
     READ_PERIOD_SECONDS,
     Location,
+    RefreshEnded,
     SourceReader,
 )
 
@@ -62,18 +65,18 @@
             self.events.append,
         )
 
-    async def fetch(self, host: str) -> PeerReading | None:
+    async def fetch(self, host: str) -> Result:
         await asyncio.sleep(0.25 if host in self.killed_hosts else 0.001)
         snapshot = self.stores[host].current
         if host in self.killed_hosts or snapshot is None:
-            return None
+            return Err(PeerUnavailable('TimeoutError'))
         reading = Reading(
             snapshot.revision,
             snapshot.configuration,
             snapshot.endpoints,
             snapshot.closed_data_centres,
         )
-        return PeerReading(reading, self.stores[host].confirmed_at)
+        return Ok(PeerReading(reading, self.stores[host].confirmed_at))
 
     async def start(self) -> None:
         for reader in self.readers.values():
@@ -220,3 +223,19 @@
     await asyncio.sleep(20)
     assert fleet.reads <= 1.5 * 20 / READ_PERIOD_SECONDS
     assert fleet.greatest_age() < MAX_PROPAGATION_SECONDS
+
+
+@pytest.mark.looptime
+async def test_failed_refresh_is_reported():
+    """Guards against a stale snapshot whose cause no log line shows."""
+    fleet = await make_settled_fleet()
+    await fleet.kill(HOSTS[0])
+    fleet.rejected_hosts = {HOSTS[1]}
+    await asyncio.sleep(2)
+    failed = {
+        (event.origin, event.outcome)
+        for event in fleet.events
+        if isinstance(event, RefreshEnded) and event.outcome != OUTCOME_OK
+    }
+    assert (HOSTS[0], 'TimeoutError') in failed
+    assert (ORIGIN_SOURCE, 'status 503') in failed
