--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -95,12 +95,7 @@
                     event.took_ms / _MILLISECONDS_PER_SECOND
                 )
             case GateCallEnded():
-                self._calls.labels(event.outcome).inc()
-                self._wait_seconds.observe(
-                    event.waited_ms / _MILLISECONDS_PER_SECOND
-                )
-                self._occupancy.labels('in_progress').set(event.in_progress)
-                self._occupancy.labels('queued').set(event.queued)
+                self._observe_gate_call(event)
             case RefreshEnded():
                 self._observe_refresh(event)
             case _:
@@ -110,6 +105,12 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _observe_gate_call(self, event: GateCallEnded) -> None:
+        self._calls.labels(event.outcome).inc()
+        self._wait_seconds.observe(event.waited_ms / _MILLISECONDS_PER_SECOND)
+        self._occupancy.labels('in_progress').set(event.in_progress)
+        self._occupancy.labels('queued').set(event.queued)
+
     def _create_refresh_metrics(self) -> None:
         self._refresh_seconds = Histogram(
             'wagtailline_snapshot_refresh_seconds',
