--- a/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_exchange.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_exchange.py
@@ -51,8 +51,9 @@
         self._request = request
         self._write_task: asyncio.Task[None] | None = None
         self._request_truncated = False
-        self._read_timeout_seconds = (
-            request.timeout_ms / _MILLISECONDS_PER_SECOND
+        self._ends_at = (
+            asyncio.get_running_loop().time()
+            + request.timeout_ms / _MILLISECONDS_PER_SECOND
         )
         self.may_have_begun = False
 
@@ -80,11 +81,15 @@
     async def read(self, content: StreamReader) -> bytes:
         """Return the next part of the body of the answer.
 
-        Raises BodyTruncated if the connection ends, or if the upstream sends
-        nothing for the timeout of the call.
+        Raises BodyTruncated if the connection ends, or if the body does not
+        end within the timeout of the call.
         """
+        seconds_left = self._ends_at - asyncio.get_running_loop().time()
+        if seconds_left <= 0:
+            self.close()
+            raise BodyTruncated
         try:
-            with Deadline(self._read_timeout_seconds):
+            with Deadline(seconds_left):
                 return await content.readany()
         except (ClientError, OSError) as error:
             self.close()
--- a/packages/wagtailline-daemon/tests/upstream/test_client.py
+++ b/packages/wagtailline-daemon/tests/upstream/test_client.py
@@ -287,3 +287,22 @@
         b'wagtailline-depth: 3\r\nwagtailline-client-account: studio\r\n'
         b'host: mesh\r\nx-a: \xc3\xa9\r\ncontent-length: 3\r\n\r\nabc'
     )
+
+
+async def test_body_without_end_is_truncated_at_the_deadline():
+    """Guards against an upstream whose body keeps a call running for ever."""
+    endless = Upstream([_CHUNKED, *[b'3\r\nabc\r\n' * 100] * 100_000])
+    server = await asyncio.start_server(endless.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = UpstreamClient(
+        UpstreamSettings(Address('127.0.0.1', port), connections=1)
+    )
+    await client.start()
+    async with asyncio.timeout(10):
+        outcome = await client(_request(timeout_ms=300), WholeBody())
+        with pytest.raises(BodyTruncated):
+            async for _ in outcome.ok_value.body:
+                await asyncio.sleep(0)
+        await endless.ended.wait()
+    await client.stop()
+    server.close()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -1,7 +1,7 @@
 """Client side of HTTP/1.1 connections, without pipelining."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 from typing import cast
 
 import httptools
@@ -16,6 +16,8 @@
     ClientResponse,
     ConnectionFailed,
 )
+from wagtailline_sidecar._response_limits import ResponseLimits
+from wagtailline_sidecar._response_stream import ResponseStream
 from wagtailline_sidecar.http_messages import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -35,6 +37,7 @@
     'ClientRequest',
     'ClientResponse',
     'ConnectionFailed',
+    'ResponseStream',
     'open_connection',
 )
 
@@ -71,6 +74,7 @@
         self._is_lost = False
         self._lost_cleanly = False
         self._must_close = False
+        self._limits = ResponseLimits()
         self._on_data: Callable[[], None] | None = None
         self.keep_alive_timeout_seconds: float | None = None
 
@@ -113,8 +117,12 @@
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._is_malformed = True
-            self._wake()
+            self._fail_malformed()
+            return
+        if self._limits.is_exceeded(
+            len(data), is_head_complete=self._is_head_complete
+        ):
+            self._fail_malformed()
 
     async def exchange(
         self, request: ClientRequest, content: Body
@@ -172,6 +180,7 @@
 
     def on_headers_complete(self) -> None:
         """Accept a response head; skip a response to another request."""
+        self._limits.record_progress()
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         if status == _SWITCHING_PROTOCOLS:
@@ -199,6 +208,7 @@
 
     def on_body(self, content: bytes) -> None:
         """Buffer a part of the body; pause reading above the limit."""
+        self._limits.record_progress()
         if self._is_skipping:
             return
         if self._is_complete:
@@ -226,6 +236,7 @@
         self._is_head_complete = False
         self._is_complete = False
         self._is_skipping = False
+        self._limits = ResponseLimits()
 
     async def _send(
         self, request: ClientRequest, content: Body
@@ -268,32 +279,30 @@
             self._must_close = True
         while not self._is_complete:
             if self._buffered_bytes > MAX_BUFFERED_BYTES:
-                return self._stream()
+                return ResponseStream(self)
             self._raise_if_failed()
             await self._wait()
         content = b''.join(self._chunks)
         self._end_exchange()
         return WholeBody(content)
 
-    async def _stream(self) -> AsyncIterator[bytes]:
-        try:
-            while True:
-                if self._chunks:
-                    content = b''.join(self._chunks)
-                    self._chunks = []
-                    self._buffered_bytes = 0
-                    if self._transport is not None:
-                        self._transport.resume_reading()
-                    yield content
-                elif self._is_complete:
-                    self._end_exchange()
-                    return
-                else:
-                    self._raise_if_truncated()
-                    await self._wait()
-        finally:
-            if self._request is not None:
-                self.close()
+    async def read_streamed(self) -> bytes:
+        """Return the next part of a streamed body, or nothing at its end.
+
+        Raises BodyTruncated if the body breaks off.
+        """
+        while not self._chunks:
+            if self._is_complete:
+                self._end_exchange()
+                return b''
+            self._raise_if_truncated()
+            await self._wait()
+        content = b''.join(self._chunks)
+        self._chunks = []
+        self._buffered_bytes = 0
+        if self._transport is not None:
+            self._transport.resume_reading()
+        return content
 
     def _raise_if_truncated(self) -> None:
         if self._is_malformed or self._is_lost:
@@ -333,6 +342,10 @@
         self._is_malformed = True
         self.close()
 
+    def _fail_malformed(self) -> None:
+        self._reject_input()
+        self._wake()
+
     async def _wait(self) -> None:
         self._wakeup = asyncio.get_running_loop().create_future()
         await self._wakeup
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -1,5 +1,6 @@
 """HTTP client of the local upstream, with a pool of connections."""
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -21,6 +22,7 @@
     ClientRequest,
     ClientResponse,
     ConnectionFailed,
+    ResponseStream,
     open_connection,
 )
 from wagtailline_sidecar.clock import BootClock
@@ -111,7 +113,14 @@
             return Err(Refusal('upstream_reset', 'unknown'))
         except AnswerMalformed:
             return Err(Refusal('upstream_malformed', 'unknown'))
-        return self._classify_response(answer)
+        if isinstance(answer.body, ResponseStream):
+            # The upstream stops its work after this time, so what it sends
+            # later is not the answer.
+            answer.body.set_end(asyncio.get_running_loop().time() + seconds)
+        outcome = self._classify_response(answer)
+        if isinstance(outcome, Err):
+            await _discard_body(answer)
+        return outcome
 
     async def check_health(self, path: str) -> HealthReport | None:
         """Return the result of a health check, or None without a response."""
@@ -121,6 +130,7 @@
             answer = await self._exchange(request, WholeBody())
         except (ConnectionFailed, AnswerMissing, AnswerMalformed):
             return None
+        await _discard_body(answer)
         warm_up_ms = find_header(answer.headers, self._names.warm_up_ms) or b'0'
         instance = find_header(answer.headers, self._names.instance) or b''
         return HealthReport(
@@ -196,6 +206,12 @@
         return Ok(Answer(answer.status, answer.headers, answer.body))
 
 
+async def _discard_body(answer: ClientResponse) -> None:
+    """Close the connection if the body is still arriving on it."""
+    if isinstance(answer.body, ResponseStream):
+        await answer.body.aclose()
+
+
 def _request_id_header(
     request: CallRequest, names: HeaderNames
 ) -> tuple[bytes, bytes] | None:
--- a/packages/wagtailline-sidecar/tests/test_client_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_client_connection.py
@@ -165,3 +165,82 @@
     await server.wait_closed()
     with pytest.raises(ConnectionFailed):
         await open_connection(Address(*address), 0.5)
+
+
+def endless(part: bytes, head: bytes = b''):
+    """Return a script that sends bytes until its peer closes, and a record.
+
+    The record is set to true when the peer has closed the connection.
+    """
+    closed = asyncio.Event()
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(head)
+        try:
+            while True:
+                writer.write(part)
+                await writer.drain()
+        except ConnectionError:
+            closed.set()
+
+    return script, closed
+
+
+CHUNKED = b'HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+
+@pytest.mark.parametrize(
+    ('head', 'part'),
+    [
+        (b'', b'x' * 1000),
+        (b'HTTP/1.1 200 ', b'x' * 1000),
+        (b'HTTP/1.1 200 OK\r\nX-Long: ', b'x' * 1000),
+        (b'HTTP/1.1 200 OK\r\n', b'X-More: more\r\n' * 50),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 50),
+        (b'HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n', b'x' * 1000),
+        (CHUNKED + b'5', b';x' * 500),
+        (CHUNKED + b'5\r\nhello\r\n0\r\n', b'X-More: more\r\n' * 50),
+    ],
+)
+async def test_bytes_without_end_that_are_no_answer_fail(head, part):
+    """Guards against memory and time spent on a server that never answers."""
+    script, closed = endless(part, head)
+    server, address = await serve_script(script)
+    connection = await open_connection(address, 1)
+    async with asyncio.timeout(5):
+        with pytest.raises(AnswerMalformed):
+            await connection.exchange(REQUEST, WholeBody())
+        connection.close()
+        await closed.wait()
+    assert not connection.is_reusable
+    server.close()
+
+
+async def test_body_without_end_is_truncated_at_its_time_limit():
+    """Guards against a body that is passed on until the client gives up."""
+    script, closed = endless(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
+    server, address = await serve_script(script)
+    connection = await open_connection(address, 1)
+    response = await connection.exchange(REQUEST, WholeBody())
+    response.body.set_end(asyncio.get_running_loop().time() + 0.1)
+    async with asyncio.timeout(5):
+        with pytest.raises(BodyTruncated):
+            async for _ in response.body:
+                await asyncio.sleep(0)
+        await closed.wait()
+    server.close()
+
+
+async def test_unread_body_holds_a_bounded_part_and_closes():
+    """Guards against a body without end that fills the memory unread."""
+    script, closed = endless(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
+    server, address = await serve_script(script)
+    connection = await open_connection(address, 1)
+    response = await connection.exchange(REQUEST, WholeBody())
+    await asyncio.sleep(0.3)
+    assert connection._buffered_bytes < 4 * MAX_BUFFERED_BYTES
+    await response.body.aclose()
+    async with asyncio.timeout(5):
+        await closed.wait()
+    server.close()
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -1,9 +1,12 @@
 """Tests of the upstream client over loopback connections."""
 
+import asyncio
+
 import pytest
 from _peers import read_head, serve_script
+from result import Err, Ok
 
-from wagtailline.calls import CallRequest, WholeBody
+from wagtailline.calls import BodyTruncated, CallRequest, WholeBody
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.upstream import Upstream
@@ -87,3 +90,61 @@
     """
     outcome, _ = await run('503 Busy', 'Wagtailline-Seal: 1')
     assert outcome.ok_value.status == 503
+
+
+async def run_endless(head: bytes):
+    """Run a request at an upstream that sends a body without end.
+
+    Return the outcome once the upstream has seen its connection close.
+    """
+    closed = asyncio.Event()
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(head)
+        try:
+            while True:
+                writer.write(bytes(10_000))
+                await writer.drain()
+        except ConnectionError:
+            closed.set()
+
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(), BootClock())
+    async with asyncio.timeout(5):
+        outcome = await upstream.run(REQUEST, WholeBody(), 0.2)
+        if isinstance(outcome, Ok):
+            with pytest.raises(BodyTruncated):
+                async for _ in outcome.ok_value.body:
+                    await asyncio.sleep(0)
+        await closed.wait()
+    server.close()
+    return outcome
+
+
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\n',
+        b'HTTP/1.1 421 X\r\n\r\n',
+        b'HTTP/1.1 503 X\r\nwagtailline-not-run: 1\r\n\r\n',
+    ],
+)
+async def test_refused_response_with_an_endless_body_frees_its_connection(head):
+    """Guards against connections that stay open because nobody reads them."""
+    assert isinstance(await run_endless(head), Err)
+
+
+async def test_endless_body_is_truncated_when_the_time_is_up():
+    """Guards against a success response that never ends."""
+    outcome = await run_endless(
+        b'HTTP/1.1 200 OK\r\nWagtailline-Seal: 1\r\n\r\n'
+    )
+    assert isinstance(outcome, Ok)
+
+
+async def test_endless_head_is_refused_as_unknown():
+    """Guards against a refusal that denies an execution it can't rule out."""
+    outcome = await run_endless(b'HTTP/1.1 200 OK\r\nX-Long: ')
+    assert outcome.err_value.reason == 'upstream_malformed'
+    assert outcome.err_value.executed == 'unknown'
--- a/tests/wagtailline_platform/test_store.py
+++ b/tests/wagtailline_platform/test_store.py
@@ -123,3 +123,28 @@
     platform.sent_bytes = 0
     assert isinstance(await store.read(0.05), Ok)
     assert platform.sent_bytes < 5000
+
+
+async def test_largest_configuration_is_read(platform):
+    """Guards against a configuration that is published but never in force.
+
+    A value may have 1 MiB, which is above the size that is buffered at once.
+    """
+    configuration = make_configuration(1)
+    status_route = configuration['routes']['status']
+    configuration['routes'] |= {
+        f'r{number}': {**status_route, 'prefix': f'/r{number}/'}
+        for number in range(6000)
+    }
+    platform.put('op/config', configuration)
+    store = Store(platform.address, lambda event: None)
+    assert (await read(store)).configuration.version == 1
+
+
+async def test_answer_without_end_fails(platform):
+    """Guards against a store whose answer fills the memory of the daemon."""
+    platform.put('op/config', make_configuration(1))
+    platform.put_bytes('servers/i-1', bytes(5_000_000))
+    store = Store(platform.address, lambda event: None)
+    result = await store.read(0.05)
+    assert result.err_value.reason.startswith('AnswerTooLarge')
