--- a/packages/wagtailline-sidecar/tests/_peers.py
+++ b/packages/wagtailline-sidecar/tests/_peers.py
@@ -75,3 +75,27 @@
 async def read_head(reader: asyncio.StreamReader) -> bytes:
     async with asyncio.timeout(READ_TIMEOUT_SECONDS):
         return await reader.readuntil(b'\r\n\r\n')
+
+
+def send_endlessly(
+    part: bytes, head: bytes = b''
+) -> tuple[Script, asyncio.Event]:
+    """Return a script that sends bytes until its peer closes.
+
+    The event is set when the peer has closed the connection.
+    """
+    closed = asyncio.Event()
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await read_head(reader)
+        writer.write(head)
+        try:
+            while True:
+                writer.write(part)
+                await writer.drain()
+        except ConnectionError:
+            closed.set()
+
+    return script, closed
--- a/packages/wagtailline-sidecar/tests/test_client_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_client_connection.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from _peers import read_head, serve_script
+from _peers import read_head, send_endlessly, serve_script
 
 from wagtailline.calls import BodyTruncated, WholeBody
 from wagtailline.ports import Address
@@ -167,26 +167,6 @@
         await open_connection(Address(*address), 0.5)
 
 
-def endless(part: bytes, head: bytes = b''):
-    """Return a script that sends bytes until its peer closes, and a record.
-
-    The record is set to true when the peer has closed the connection.
-    """
-    closed = asyncio.Event()
-
-    async def script(reader, writer):
-        await read_head(reader)
-        writer.write(head)
-        try:
-            while True:
-                writer.write(part)
-                await writer.drain()
-        except ConnectionError:
-            closed.set()
-
-    return script, closed
-
-
 CHUNKED = b'HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n'
 
 
@@ -205,7 +185,7 @@
 )
 async def test_bytes_without_end_that_are_no_answer_fail(head, part):
     """Guards against memory and time spent on a server that never answers."""
-    script, closed = endless(part, head)
+    script, closed = send_endlessly(part, head)
     server, address = await serve_script(script)
     connection = await open_connection(address, 1)
     async with asyncio.timeout(5):
@@ -219,7 +199,7 @@
 
 async def test_body_without_end_is_truncated_at_its_time_limit():
     """Guards against a body that is passed on until the client gives up."""
-    script, closed = endless(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
+    script, closed = send_endlessly(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
     server, address = await serve_script(script)
     connection = await open_connection(address, 1)
     response = await connection.exchange(REQUEST, WholeBody())
@@ -234,7 +214,7 @@
 
 async def test_unread_body_holds_a_bounded_part_and_closes():
     """Guards against a body without end that fills the memory unread."""
-    script, closed = endless(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
+    script, closed = send_endlessly(b'x' * 1000, b'HTTP/1.1 200 OK\r\n\r\n')
     server, address = await serve_script(script)
     connection = await open_connection(address, 1)
     response = await connection.exchange(REQUEST, WholeBody())
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from _peers import read_head, serve_script
+from _peers import read_head, send_endlessly, serve_script
 from result import Err, Ok
 
 from wagtailline.calls import BodyTruncated, CallRequest, WholeBody
@@ -97,18 +97,7 @@
 
     Return the outcome once the upstream has seen its connection close.
     """
-    closed = asyncio.Event()
-
-    async def script(reader, writer):
-        await read_head(reader)
-        writer.write(head)
-        try:
-            while True:
-                writer.write(bytes(10_000))
-                await writer.drain()
-        except ConnectionError:
-            closed.set()
-
+    script, closed = send_endlessly(bytes(10_000), head)
     server, address = await serve_script(script)
     upstream = Upstream(address, HeaderNames(), BootClock())
     async with asyncio.timeout(5):
