--- a/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/_daemon_commands.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from collections.abc import Iterator
 from typing import Any
 
 from cleo.commands.command import Command
@@ -93,17 +94,15 @@
     def handle(self) -> int:
         """Return 0 once the version is in force, or 3 after the timeout."""
         version = int(self.argument('version'))
-        deadline = time.monotonic() + float(self.option('timeout'))
         progress = self.progress_indicator()
         progress.start(f'waiting for version {version}')
-        while time.monotonic() < deadline:
+        for _ in _poll(float(self.option('timeout'))):
             fleet = _read_fleet(self.argument('daemon'))
             if _is_in_force_everywhere(fleet, version):
                 progress.finish(f'version {version} is in force everywhere')
                 return EXIT_OK
             progress.set_message(_render_progress(fleet, version))
             progress.advance()
-            time.sleep(POLL_SECONDS)
         progress.finish(f'version {version} is not in force everywhere')
         return EXIT_TIMEOUT
 
@@ -129,10 +128,9 @@
 
     def handle(self) -> int:
         """Return 0 once no gate has requests, or 3 after the timeout."""
-        deadline = time.monotonic() + float(self.option('timeout'))
         progress = self.progress_indicator()
         progress.start('reading the gates')
-        while time.monotonic() < deadline:
+        for _ in _poll(float(self.option('timeout'))):
             gates = {
                 daemon: _read_gate(daemon)
                 for daemon in self.argument('daemons')
@@ -145,11 +143,19 @@
                 return EXIT_OK
             progress.set_message(render_gates(busy))
             progress.advance()
-            time.sleep(POLL_SECONDS)
         progress.finish('requests are still in progress')
         return EXIT_TIMEOUT
 
 
+def _poll(timeout_seconds: float) -> Iterator[None]:
+    """Yield at once, and then periodically until the timeout."""
+    deadline = time.monotonic() + timeout_seconds
+    yield
+    while time.monotonic() < deadline:
+        time.sleep(POLL_SECONDS)
+        yield
+
+
 def render_gates(gates: dict[str, dict[str, Any]]) -> str:
     """Return one line with the state of all gates."""
     return '; '.join(
--- a/packages/wagtailline-ctl/tests/test_daemon_commands.py
+++ b/packages/wagtailline-ctl/tests/test_daemon_commands.py
@@ -10,6 +10,8 @@
 
 _FLEET = {'everywhere': 3, 'members': 12, 'laggards': [], 'silent': []}
 
+_IDLE_GATE = {'in_progress': 0, 'queued': 0, 'limit': 1}
+
 
 def _run(monkeypatch, name, arguments, answer):
     monkeypatch.setattr(_daemon_commands, 'read_daemon', lambda *_: answer)
@@ -62,3 +64,16 @@
     """
     failure = Err(DaemonUnreachable('d', 'refused'))
     assert _run(monkeypatch, 'status', 'd:1', failure)[0] == 4
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'answer'),
+    [('wait d:1 3', _FLEET), ('drain d:1', {'gate': _IDLE_GATE})],
+)
+def test_state_is_read_once_whatever_the_timeout(
+    monkeypatch, arguments, answer
+):
+    """Guards against a timeout on a busy VM although the state is reached."""
+    name, _, rest = arguments.partition(' ')
+    outcome = _run(monkeypatch, name, f'{rest} --timeout 0', Ok(answer))
+    assert outcome[0] == 0
