--- a/packages/wagtailline-lab/src/wagtailline_lab/registry_platform.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/registry_platform.py
@@ -51,6 +51,7 @@
         self.oldest_revision = 0
         self.is_mute = False
         self._items: dict[str, Item] = {}
+        self._history: list[tuple[str, Item]] = []
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str = '127.0.0.1') -> Address:
@@ -71,7 +72,9 @@
     def put_bytes(self, key: str, content: bytes) -> None:
         """Store raw bytes, which may be malformed, at the next revision."""
         self.revision += 1
-        self._items[key] = Item(content, self.revision)
+        item = Item(content, self.revision)
+        self._items[key] = item
+        self._history.append((key, item))
 
     def remove(self, key: str) -> None:
         """Delete a key at the next revision; a missing key is ignored."""
@@ -117,20 +120,17 @@
         if after < self.oldest_revision:
             return _encode_response(_GONE, b'')
         while True:
-            keys = [
-                key
-                for key, item in self._items.items()
+            changes = [
+                _encode_item(key, item)
+                for key, item in self._history
                 if key.startswith(prefix) and item.revision > after
             ]
             polls -= 1
-            if polls <= 0 or (keys and not self.is_mute):
+            if polls <= 0 or (changes and not self.is_mute):
                 break
             await asyncio.sleep(_WATCH_POLL_SECONDS)
-        events = [] if self.is_mute else keys
-        page = {
-            'events': [self._encode_item(key) for key in events],
-            'at': self.revision,
-        }
+        events = [] if self.is_mute else changes
+        page = {'events': events, 'at': self.revision}
         return _encode_response(_OK, json.dumps(page).encode())
 
     def _answer_range(self, query: Mapping[str, list[str]]) -> bytes:
@@ -142,21 +142,23 @@
             if key.startswith(prefix) and key > after
         ]
         page = {
-            'items': [self._encode_item(key) for key in keys[:PAGE_ITEMS]],
+            'items': [
+                _encode_item(key, self._items[key]) for key in keys[:PAGE_ITEMS]
+            ],
             'hasMore': len(keys) > PAGE_ITEMS,
             'at': self.revision,
         }
         return _encode_response(_OK, json.dumps(page).encode())
 
-    def _encode_item(self, key: str) -> dict[str, object]:
-        item = self._items[key]
-        return {
-            'key': key,
-            'value': base64.b64encode(item.content).decode(),
-            'revision': item.revision,
-            'created': item.revision,
-            'lease': 0,
-        }
+
+def _encode_item(key: str, item: Item) -> dict[str, object]:
+    return {
+        'key': key,
+        'value': base64.b64encode(item.content).decode(),
+        'revision': item.revision,
+        'created': item.revision,
+        'lease': 0,
+    }
 
 
 def _encode_response(status: int, body: bytes) -> bytes:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -77,6 +77,7 @@
         self._limits = ResponseLimits()
         self._on_data: Callable[[], None] | None = None
         self.keep_alive_timeout_seconds: float | None = None
+        self.first_byte_at: float | None = None
 
     @property
     def is_reusable(self) -> bool:
@@ -152,15 +153,19 @@
         """Send a request and return its response, however long that takes.
 
         Raises TimeoutError when nothing arrives for ``silence_seconds``, as
-        well as the errors of ``exchange``.
+        well as the errors of ``exchange``. ``first_byte_at`` then is the loop
+        time at which the response began to arrive.
         """
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(silence_seconds) as timeout:
 
             def extend() -> None:
+                if self.first_byte_at is None:
+                    self.first_byte_at = loop.time()
                 if not timeout.expired():
                     timeout.reschedule(loop.time() + silence_seconds)
 
+            self.first_byte_at = None
             self._on_data = extend
             try:
                 return await self.exchange(request, content)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_connection.py
@@ -1,5 +1,6 @@
 """Persistent HTTP connection on which the source is read."""
 
+import asyncio
 from typing import NamedTuple
 
 from wagtailline.calls import Body, BodyTruncated, WholeBody
@@ -24,10 +25,11 @@
 
 
 class SourceAnswer(NamedTuple):
-    """Status and whole body of an answer."""
+    """Status and whole body of an answer, and how long it arrived."""
 
     status: int
     content: bytes
+    transfer_seconds: float
 
 
 CONNECTION_ERRORS = (
@@ -63,7 +65,10 @@
             WholeBody(),
             wait_seconds + SILENCE_SECONDS,
         )
-        return SourceAnswer(answer.status, await _read_whole(answer.body))
+        content = await _read_whole(answer.body)
+        now = asyncio.get_running_loop().time()
+        began_at = connection.first_byte_at or now
+        return SourceAnswer(answer.status, content, now - began_at)
 
     def close(self) -> None:
         """Close the connection, on which a late answer could arrive."""
--- a/tests/wagtailline_platform/test_store.py
+++ b/tests/wagtailline_platform/test_store.py
@@ -1,5 +1,8 @@
 """Tests of the client of the platform's store, over loopback."""
 
+import json
+import math
+
 import pytest
 from _daemons import make_configuration
 from result import Err, Ok
@@ -148,3 +151,18 @@
     store = Store(platform.address, lambda event: None)
     result = await store.read(0.05)
     assert result.err_value.reason.startswith('AnswerTooLarge')
+
+
+async def test_versions_between_two_readings_are_not_transferred(platform):
+    """Guards against a slow link that falls ever further behind a storm."""
+    platform.bytes_per_second = SLOW_BYTES_PER_SECOND
+    platform.put('op/config', make_large_configuration(1))
+    store = Store(platform.address, lambda event: None)
+    await read(store)
+    platform.bytes_per_second = math.inf
+    platform.sent_bytes = 0
+    for version in range(2, 6):
+        platform.put('op/config', make_large_configuration(version))
+    assert (await read(store)).configuration.version == 5
+    size_bytes = len(json.dumps(make_large_configuration(5)))
+    assert platform.sent_bytes < 2 * size_bytes
