--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -113,15 +113,19 @@
     ) -> None:
         """Apply a reading that was requested at the given time since boot.
 
-        ``refreshed_at`` is the time at which it had ended; by default now.
+        ``refreshed_at`` is the time at which it had ended; it is given for a
+        reading from a peer, and now for one of this daemon's own.
         """
         previous = self._snapshot
         if previous is not None and reading.revision < previous.revision:
             return
+        is_own_reading = refreshed_at is None
         if (
             previous
+            and is_own_reading
             and requested_at - self._confirmed_at > OUTAGE_THRESHOLD_SECONDS
         ):
+            # A peer that succeeds shows that the source was not away.
             self._outage_ended_at = self._clock.boot()
         configuration = self._select_configuration(reading.configuration)
         if configuration is None:
@@ -133,7 +137,11 @@
         snapshot = Snapshot(
             reading.revision,
             configuration,
-            _keep_latest(self._add_expired(reading.endpoints)),
+            _keep_latest(
+                self._add_expired(reading.endpoints)
+                if is_own_reading
+                else reading.endpoints
+            ),
             reading.closed_data_centres,
         )
         self._install(snapshot)
--- a/packages/wagtailline-sidecar/tests/test_snapshot.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot.py
@@ -144,3 +144,37 @@
     changed = (make_endpoint(warm_up_left_seconds=2),)
     snapshots.apply(Reading(4, configuration, changed, frozenset()), clock.now)
     assert len(installed) == 2
+
+
+def test_late_daemon_drops_the_endpoints_that_its_peer_no_longer_lists():
+    """Guards against requests to endpoints that left while a VM was late.
+
+    A daemon that gets no snapshot for seconds, as its link is full, can't
+    tell that from an outage of the source; a peer that was not late can.
+    """
+    snapshots, clock, _ = make_store()
+    staying = make_endpoint('e1')
+    leaving = make_endpoint('e2', address=Address('10.0.0.2', 8000))
+    apply_reading(snapshots, clock, 1, staying, leaving)
+    clock.now += OUTAGE_THRESHOLD_SECONDS + 1
+    reading = Reading(2, make_configuration(), (staying,), frozenset())
+    snapshots.apply(reading, clock.now - 0.5, clock.now)
+    assert endpoint_identities(snapshots) == {'e1'}
+
+
+def test_peer_passes_on_the_endpoints_that_it_retains():
+    """Guards against losing all endpoints behind a peer after an outage."""
+    reader, clock, _ = make_store()
+    endpoint = make_endpoint('e1')
+    apply_reading(reader, clock, 1, endpoint)
+    clock.now += OUTAGE_THRESHOLD_SECONDS + 1
+    apply_reading(reader, clock, 2)
+    follower = SnapshotStore(clock, lambda event: None)
+    passed_on = Reading(
+        reader.current.revision,
+        reader.current.configuration,
+        reader.current.endpoints,
+        reader.current.closed_data_centres,
+    )
+    follower.apply(passed_on, reader.confirmed_at, reader.refreshed_at)
+    assert endpoint_identities(follower) == {'e1'}
