--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -0,0 +1,45 @@
+"""Tests of the metrics and of what is logged."""
+
+import pytest
+
+from wagtailline_sidecar.source_reader import (
+    ORIGIN_SOURCE,
+    OUTCOME_OK,
+    RefreshEnded,
+)
+from wagtailline_sidecar.telemetry import Telemetry
+
+
+class RecordingLog:
+    def __init__(self) -> None:
+        self.events: list = []
+
+    def info(self, event) -> None:
+        self.events.append(event)
+
+
+@pytest.mark.parametrize(
+    ('event', 'is_logged'),
+    [
+        (RefreshEnded(ORIGIN_SOURCE, OUTCOME_OK, 20, 30), False),
+        (RefreshEnded('10.0.0.1', OUTCOME_OK, 400, 30), True),
+        (RefreshEnded('10.0.0.1', 'TimeoutError', 20, 900), True),
+    ],
+)
+def test_slow_and_failed_refreshes_are_logged(event, is_logged):
+    """Guards against late snapshots without a trace, or a log full of them."""
+    log = RecordingLog()
+    Telemetry(log).observe(event)
+    assert (log.events == [event]) == is_logged
+
+
+def test_every_refresh_is_counted():
+    """Guards against metrics that hide the refreshes that went well."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.observe(RefreshEnded(ORIGIN_SOURCE, OUTCOME_OK, 20, 30))
+    telemetry.observe(RefreshEnded('10.0.0.1', 'TimeoutError', 20, 900))
+    page = telemetry.render().decode()
+    name = 'wagtailline_snapshot_refresh_seconds_count'
+    assert f'{name}{{origin="source",result="ok"}} 1.0' in page
+    assert f'{name}{{origin="peer",result="failed"}} 1.0' in page
+    assert 'wagtailline_snapshot_age_seconds_count 2.0' in page
