--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -64,7 +64,11 @@
     return SourceReader(
         Origins(source, gate_services.snapshot_exchange.fetch),
         core.snapshots,
-        Location(parse_address(settings.peers).host, settings.data_centre),
+        Location(
+            parse_address(settings.peers).host,
+            settings.data_centre,
+            settings.link_megabits_per_second,
+        ),
         core.clock,
         core.random,
         core.telemetry.observe,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -81,6 +81,17 @@
 _ENDPOINTS = msgspec.msgpack.Decoder(tuple[Endpoint, ...])
 
 
+class ReplyFigures(NamedTuple):
+    """Wait for news at the peer, age of its snapshot, and size of the reply."""
+
+    waited_ms: int
+    age_ms: int
+    received_bytes: int
+
+
+NO_REPLY = ReplyFigures(0, 0, 0)
+
+
 class PeerReading(NamedTuple):
     """Reading received from a peer.
 
@@ -91,6 +102,7 @@
     reading: Reading
     current_at: float
     refreshed_at: float
+    reply: ReplyFigures = NO_REPLY
 
 
 class PeerUnavailable(NamedTuple):
@@ -154,11 +166,15 @@
         current_at = sent_at - reply.age_ms / _MILLISECONDS_PER_SECOND
         refreshed_at = sent_at - reply.refresh_age_ms / _MILLISECONDS_PER_SECOND
         try:
-            return Ok(
-                PeerReading(self._decode_reply(reply), current_at, refreshed_at)
-            )
+            reading = self._decode_reply(reply)
         except msgspec.DecodeError as problem:
             return self._close_and_fail(host, f'malformed reply: {problem}')
+        figures = ReplyFigures(
+            reply.waited_ms,
+            reply.age_ms,
+            len(reply.configuration) + len(reply.endpoints),
+        )
+        return Ok(PeerReading(reading, current_at, refreshed_at, figures))
 
     async def serve(self, channel: Channel) -> None:
         """Answer the requests of one peer until its connection closes."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -13,7 +13,12 @@
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.refresh_periods import RefreshPeriods
 from wagtailline_sidecar.snapshot import Reading, SnapshotStore
-from wagtailline_sidecar.snapshot_exchange import PeerReading, PeerUnavailable
+from wagtailline_sidecar.snapshot_exchange import (
+    NO_REPLY,
+    PeerReading,
+    PeerUnavailable,
+    ReplyFigures,
+)
 
 # A reading of a source without changes waits there for one for this time.
 READ_WAIT_SECONDS = 0.25
@@ -73,25 +78,32 @@
 class ReaderChanged(NamedTuple):
     """Event: the host from which this daemon gets its snapshot changed.
 
-    ``reader`` is the host of this daemon if it reads the source itself.
+    ``reader`` is the host of this daemon if it reads the source itself, then
+    over a link of ``link_megabits_per_second`` (0 if that is not known).
     """
 
     reader: str
     reason: str
     picture_age_seconds: float
+    link_megabits_per_second: float
 
 
 class RefreshEnded(NamedTuple):
     """Event: an attempt to refresh the snapshot has ended.
 
     ``origin`` is the host of the peer, or ``source``. ``outcome`` is ``ok`` or
-    the reason of the failure.
+    the reason of the failure. Of ``took_ms``, the peer waited ``waited_ms`` for
+    news; ``peer_age_ms`` was the age of its snapshot then, and
+    ``received_bytes`` the size of its reply.
     """
 
     origin: str
     outcome: str
     took_ms: int
     picture_age_ms: int
+    waited_ms: int = 0
+    peer_age_ms: int = 0
+    received_bytes: int = 0
 
 
 class Origins(NamedTuple):
@@ -102,10 +114,11 @@
 
 
 class Location(NamedTuple):
-    """Host and data centre of this daemon."""
+    """Host and data centre of this daemon, and the rate of its link."""
 
     host: str
     data_centre: str
+    link_megabits_per_second: float = 0
 
 
 class SourceReader:
@@ -195,12 +208,14 @@
 
     async def _refresh_from(self, host: str) -> bool:
         requested_at = self._clock.boot()
+        reply = NO_REPLY
         match await self._fetch(host, self._max_fetch_wait(host)):
             case Ok(peer_reading):
+                reply = peer_reading.reply
                 outcome = self._apply_peer_reading(peer_reading)
             case Err(unavailable):
                 outcome = unavailable.reason
-        self._report_refresh(host, outcome, requested_at)
+        self._report_refresh(host, outcome, requested_at, reply)
         return outcome == OUTCOME_OK
 
     def _max_fetch_wait(self, host: str) -> float:
@@ -219,7 +234,11 @@
         age_seconds = self._clock.boot() - peer_reading.refreshed_at
         if age_seconds > self._periods().max_refresh_age:
             return f'last read {age_seconds:.3f} s ago'
-        self._snapshots.apply(*peer_reading)
+        self._snapshots.apply(
+            peer_reading.reading,
+            peer_reading.current_at,
+            peer_reading.refreshed_at,
+        )
         return OUTCOME_OK
 
     async def _read(self, wait_seconds: float) -> float:
@@ -268,7 +287,11 @@
         return helpers
 
     def _report_refresh(
-        self, origin: str, outcome: str, requested_at: float
+        self,
+        origin: str,
+        outcome: str,
+        requested_at: float,
+        reply: ReplyFigures = NO_REPLY,
     ) -> None:
         took_seconds = self._clock.boot() - requested_at
         age_seconds = min(self._snapshots.age_seconds, _MAX_REPORTED_SECONDS)
@@ -278,6 +301,7 @@
                 outcome,
                 int(took_seconds * _MILLISECONDS_PER_SECOND),
                 int(age_seconds * _MILLISECONDS_PER_SECOND),
+                *reply,
             )
         )
 
@@ -285,7 +309,15 @@
         if reader != self._reader:
             self._reader = reader
             age = round(self._snapshots.age_seconds, 3)
-            self._observe(ReaderChanged(reader, reason, age))
+            is_self = reader == self._location.host
+            self._observe(
+                ReaderChanged(
+                    reader,
+                    reason,
+                    age,
+                    self._location.link_megabits_per_second if is_self else 0,
+                )
+            )
 
 
 def find_ancestors(hosts: list[str], host: str) -> list[str]:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
@@ -39,6 +39,19 @@
     revision: int
 
 
+class SourceReadEnded(NamedTuple):
+    """Event: a reading of the source has ended.
+
+    ``transfer_ms`` is the time from the first to the last byte of its answers,
+    ``decode_ms`` that in which their items were decoded.
+    """
+
+    outcome: str
+    received_bytes: int
+    transfer_ms: int
+    decode_ms: int
+
+
 class HistoryGone(Exception):
     """The source no longer has the changes since the watched revision."""
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -18,6 +18,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.source_replica import SourceReadEnded
 
 _LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -32,9 +33,12 @@
     5,
     10,
 )
+_SIZE_BUCKETS_BYTES = (1_000, 10_000, 100_000, 1_000_000, 10_000_000)
 _MILLISECONDS_PER_SECOND = 1000
 # Faster successful refreshes are counted but not logged.
 _SLOW_REFRESH_MS = 250
+# Readings of the source with a shorter transfer are counted but not logged.
+_SLOW_TRANSFER_MS = 100
 
 
 class Telemetry:
@@ -98,6 +102,11 @@
                 self._observe_gate_call(event)
             case RefreshEnded():
                 self._observe_refresh(event)
+            case SourceReadEnded():
+                self._source_bytes.observe(event.received_bytes)
+                self._source_transfer_seconds.observe(
+                    event.transfer_ms / _MILLISECONDS_PER_SECOND
+                )
             case _:
                 self._events_total.labels(event_name(event)).inc()
 
@@ -125,6 +134,18 @@
             buckets=_LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._source_transfer_seconds = Histogram(
+            'wagtailline_source_transfer_seconds',
+            'Time from the first to the last byte of a reading of the source',
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self._source_bytes = Histogram(
+            'wagtailline_source_bytes',
+            'Bytes that a reading of the source received',
+            buckets=_SIZE_BUCKETS_BYTES,
+            registry=self._registry,
+        )
 
     def _observe_refresh(self, event: RefreshEnded) -> None:
         origin = ORIGIN_SOURCE if event.origin == ORIGIN_SOURCE else 'peer'
@@ -139,6 +160,11 @@
 
 def _is_logged(event: NamedTuple) -> bool:
     """Return whether an event is logged; fast refreshes are only counted."""
-    if not isinstance(event, RefreshEnded):
-        return True
-    return event.outcome != OUTCOME_OK or event.took_ms >= _SLOW_REFRESH_MS
+    match event:
+        case RefreshEnded():
+            is_slow = event.took_ms >= _SLOW_REFRESH_MS
+            return is_slow or event.outcome != OUTCOME_OK
+        case SourceReadEnded():
+            busy_ms = event.transfer_ms + event.decode_ms
+            return busy_ms >= _SLOW_TRANSFER_MS
+    return True
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -59,7 +59,7 @@
     async def refresh(self) -> bool:
         match await self.exchange.fetch('peer'):
             case Ok(peer_reading):
-                self.snapshots.apply(*peer_reading)
+                self.snapshots.apply(*peer_reading[:3])
                 return True
         return False
 
@@ -117,7 +117,7 @@
     server.read(5, CONFIGURATION, ENDPOINTS)
     peer_reading = (await client.exchange.fetch('peer')).ok_value
     client.clock.now += 10
-    client.snapshots.apply(*peer_reading)
+    client.snapshots.apply(*peer_reading[:3])
     assert client.snapshots.age_seconds >= 10
 
 
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -7,6 +7,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.source_replica import SourceReadEnded
 from wagtailline_sidecar.telemetry import Telemetry
 
 
@@ -24,6 +25,9 @@
         (RefreshEnded(ORIGIN_SOURCE, OUTCOME_OK, 20, 30), False),
         (RefreshEnded('10.0.0.1', OUTCOME_OK, 400, 30), True),
         (RefreshEnded('10.0.0.1', 'TimeoutError', 20, 900), True),
+        (SourceReadEnded(OUTCOME_OK, 2000, 4, 1), False),
+        (SourceReadEnded(OUTCOME_OK, 900_000, 800, 1), True),
+        (SourceReadEnded(OUTCOME_OK, 900_000, 4, 300), True),
     ],
 )
 def test_slow_and_failed_refreshes_are_logged(event, is_logged):
--- a/tests/wagtailline_platform/test_store.py
+++ b/tests/wagtailline_platform/test_store.py
@@ -10,6 +10,7 @@
 from wagtailline_lab.registry_platform import RegistryPlatform
 from wagtailline_platform.store import Store
 from wagtailline_sidecar.source_reader import READ_WAIT_SECONDS
+from wagtailline_sidecar.source_replica import SourceReadEnded
 
 LARGE_ROUTES = 1200
 # A configuration of this size takes about 1 s on such a link.
@@ -217,3 +218,19 @@
     assert (await read(store)).configuration.version == 5
     size_bytes = len(json.dumps(make_large_configuration(5)))
     assert platform.sent_bytes < 2 * size_bytes
+
+
+async def test_reading_reports_its_bytes_and_times(platform):
+    """Guards against a late snapshot of which no log line tells the cause.
+
+    A slow link, a large configuration and a busy processor all make readings
+    slow, and the remedies differ.
+    """
+    platform.bytes_per_second = SLOW_BYTES_PER_SECOND
+    platform.put('op/config', make_large_configuration(1))
+    events: list = []
+    await read(Store(platform.address, events.append))
+    (event,) = (event for event in events if isinstance(event, SourceReadEnded))
+    assert event.outcome == 'ok'
+    assert event.received_bytes > 100_000
+    assert event.transfer_ms > 100
