Do not reuse connections whose response names no request

Cause: endpoints echo the id of a request, but their refusals may lack it. A copy of such a refusal on a kept connection was taken for the response to the next request; so was the copy of a response to a health check, which has no id. Evidence: the two new tests fail before. Change: a connection is not reused after a response that doesn't name its request. Then an unnamed response can only be that to the present request.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -207,7 +207,8 @@
         self._status = status
         self._response_headers = headers
         self._is_head_complete = True
-        if _CLOSE in split_tokens(find_header(headers, CONNECTION)):
+        is_closing = _CLOSE in split_tokens(find_header(headers, CONNECTION))
+        if is_closing or self._is_unidentified(headers):
             self._must_close = True
         self._read_keep_alive(find_header(headers, KEEP_ALIVE))
         self._wake()
@@ -338,6 +339,18 @@
         echoed_value = find_header(headers, name)
         return echoed_value is None or echoed_value == sent_value
 
+    def _is_unidentified(self, headers: Headers) -> bool:
+        """Return whether a copy of the response could answer a later request.
+
+        It doesn't name its request, so it can't be told from other responses.
+        """
+        request = self._request
+        return (
+            request is not None
+            and request.echo_header is not None
+            and find_header(headers, request.echo_header[0]) is None
+        )
+
     def _read_keep_alive(self, value: bytes | None) -> None:
         for token in split_tokens(value):
             name, _, seconds = token.partition(b'=')
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -132,7 +132,10 @@
     async def check_health(self, path: str) -> HealthReport | None:
         """Return the result of a health check, or None without a response."""
         host = f'{self._address.host}:{self._address.port}'.encode()
-        request = ClientRequest('GET', path, ((b'host', host),))
+        request_id = self._names.request_id, b'health'
+        request = ClientRequest(
+            'GET', path, ((b'host', host),), echo_header=request_id
+        )
         try:
             answer = await self._exchange(request, WholeBody())
         except (ConnectionFailed, AnswerMissing, AnswerMalformed):
--- a/packages/wagtailline-sidecar/tests/test_client_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_client_connection.py
@@ -20,6 +20,8 @@
 REQUEST = ClientRequest('GET', '/', ((b'host', b'a'), ID), ID)
 WHOLE = b'HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 5\r\n\r\nhello'
 
+WHOLE_100 = b'HTTP/1.1 100 Continue\r\n\r\n'
+
 
 async def exchange(*responses: bytes, close: bool = False, request=REQUEST):
     """Send a request to a server that writes the given responses."""
@@ -77,6 +79,33 @@
         await exchange(received, close=True)
 
 
+@pytest.mark.parametrize(
+    'framing',
+    [b'Content-Length: 5\r\n', b'Transfer-Encoding: chunked\r\n', b''],
+)
+async def test_response_that_ends_within_its_head_is_missing(framing):
+    """Guards against a cut head that is taken for a whole response.
+
+    Clients got a success with an empty body.
+    """
+    head = b'HTTP/1.1 200 OK\r\nX-Id: own\r\n' + framing + b'\r\n'
+    for length in range(len(head)):
+        with pytest.raises(AnswerMissing):
+            await exchange(WHOLE_100 + head[:length], close=True)
+
+
+async def test_connection_with_an_unidentified_response_is_not_reused():
+    """Guards against an earlier refusal taken for the next response.
+
+    A faulty upstream writes a response once more. A copy that doesn't name
+    its request can't be told from the response to the next one.
+    """
+    refusal = b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n'
+    connection, response = await exchange(refusal)
+    assert response.status == 503
+    assert not connection.is_reusable
+
+
 async def test_invalid_bytes_raise_answer_malformed():
     """Guards against invalid bytes returned as a response."""
     with pytest.raises(AnswerMalformed):
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -137,3 +137,53 @@
     outcome = await run_endless(b'HTTP/1.1 200 OK\r\nX-Long: ')
     assert outcome.err_value.reason == 'upstream_malformed'
     assert outcome.err_value.executed == 'unknown'
+
+
+@pytest.mark.parametrize('has_id', [False, True])
+async def test_repeated_refusal_does_not_answer_the_next_request(has_id):
+    """Guards against a request that runs and is reported as not run.
+
+    A faulty upstream writes an earlier refusal once more on a kept connection
+    when the next request has arrived there.
+    """
+
+    async def script(reader, writer):
+        sent_id = find_id(await read_head(reader))
+        echo = b'x-id: ' + sent_id if has_id else b'x: y'
+        refusal = (
+            b'HTTP/1.1 503 Busy\r\nwagtailline-not-run: 1\r\n'
+            + echo
+            + b'\r\ncontent-length: 0\r\n\r\n'
+        )
+        is_first = not heads
+        heads.append(sent_id)
+        if is_first:
+            writer.write(refusal)
+            sent_id = find_id(await read_head(reader))
+            writer.write(refusal)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: '
+            + sent_id
+            + b'\r\ncontent-length: 0\r\n\r\n'
+        )
+        await reader.read()
+
+    heads: list[bytes] = []
+    server, address = await serve_script(script)
+    names = HeaderNames(request_id=b'x-id')
+    upstream = Upstream(address, names, BootClock())
+    async with asyncio.timeout(5):
+        refused = await upstream.run(make_request(b'one'), WholeBody(), 0.5)
+        answered = await upstream.run(make_request(b'two'), WholeBody(), 0.5)
+    server.close()
+    assert refused.err_value.executed == 'no'
+    assert answered.ok_value.status == 200
+
+
+def make_request(request_id: bytes) -> CallRequest:
+    return REQUEST._replace(headers=((b'x-id', request_id),))
+
+
+def find_id(head: bytes) -> bytes:
+    _, _, rest = head.lower().partition(b'x-id: ')
+    return rest.partition(b'\r')[0]
