Refuse late requests that may outlast a planned stop

Cause: 2.5 s after SIGTERM open connections take no more requests, but later ones were treated as in normal operation until the process ended. Evidence: the new test with real daemons fails before: a request on a new connection, 3 s after SIGTERM, ends with the connection and no byte. Change: from then on a request is accepted only if its timeout ends before the stop does; others get 503 with Retry-After at once, and each connection closes after its response. Calls of the upstream, which are short, still go through. Result: the test passes; so do those of graceful stops.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -1,5 +1,6 @@
 """Creates the services that handle the requests of clients."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from wagtailline.routing import RetryBudget
@@ -78,7 +79,10 @@
 
 
 def build_ingress(
-    core: CoreServices, peers: PeerCalls, quota_services: QuotaServices
+    core: CoreServices,
+    peers: PeerCalls,
+    quota_services: QuotaServices,
+    stops_at: Callable[[], float],
 ) -> HttpListener:
     """Create the listener for requests of clients and of the local upstream."""
     dependencies = IngressDependencies(
@@ -89,6 +93,7 @@
             core.names,
             core.follow_settings(bounds.find_key_proof_seconds),
             core.follow_settings(bounds.find_denial_seconds),
+            stops_at,
         ),
         quota_services.quotas,
         Splitter(core.random),
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests by route, client account and quota."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -38,6 +39,10 @@
     is_nested: bool = False
 
 
+def _never() -> float:
+    return math.inf
+
+
 class Admission:
     """Check of route, key, age of the snapshot and quota, in this order."""
 
@@ -48,6 +53,7 @@
         names: HeaderNames,
         max_key_snapshot_age_seconds: Callable[[], float],
         max_denial_snapshot_age_seconds: Callable[[], float],
+        stops_at: Callable[[], float] = _never,
     ) -> None:
         """Set up the checks.
 
@@ -55,8 +61,10 @@
         ``max_key_snapshot_age_seconds``, since the key may have been withdrawn.
         Routes and keys count as unknown only while it is at most
         ``max_denial_snapshot_age_seconds`` old, since an older one may lack
-        recent additions.
+        recent additions. Requests that may last beyond ``stops_at``, a time of
+        the event loop, are refused: the daemon then stops.
         """
+        self._stops_at = stops_at
         self._max_denial_snapshot_age_seconds = max_denial_snapshot_age_seconds
         self._snapshots = snapshots
         self._quotas = quotas
@@ -91,6 +99,9 @@
         route: Route,
         account: ClientAccount | None,
     ) -> Result[Admitted, Refusal]:
+        timeout_seconds = self._timeout_seconds(request, route)
+        if request.arrived_at + timeout_seconds > self._stops_at():
+            return Err(Refusal('daemon_stopping', 'no'))
         if account is not None:
             wait_seconds = await self._quotas.take_token(account)
             if wait_seconds > 0:
@@ -101,14 +112,7 @@
                 return Err(
                     Refusal('quota_exhausted', 'no', wait_ms, quota_inputs)
                 )
-        names = self._names
-        timeout_seconds = route.timeout_seconds
-        timeout_header = find_header(request.headers, names.timeout_ms)
-        if timeout_header is not None and timeout_header.isdigit():
-            timeout_seconds = min(
-                timeout_seconds, int(timeout_header) / _MILLISECONDS_PER_SECOND
-            )
-        request_id = find_header(request.headers, names.request_id) or b''
+        request_id = find_header(request.headers, self._names.request_id) or b''
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
@@ -128,6 +132,13 @@
             )
         )
 
+    def _timeout_seconds(self, request: IncomingRequest, route: Route) -> float:
+        timeout_seconds = route.timeout_seconds
+        header = find_header(request.headers, self._names.timeout_ms)
+        if header is None or not header.isdigit():
+            return timeout_seconds
+        return min(timeout_seconds, int(header) / _MILLISECONDS_PER_SECOND)
+
     def _target_seconds(
         self, route: Route, account: ClientAccount | None
     ) -> float:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -31,7 +31,12 @@
     quota_services = build_quota_services(core)
     gate_services = build_gate_services(core)
     readiness = Readiness(core.snapshots)
-    ingress = build_ingress(core, gate_services.calls, quota_services)
+    ingress = build_ingress(
+        core,
+        gate_services.calls,
+        quota_services,
+        lambda: readiness.stops_at,
+    )
     services: dict[str, object] = {
         'settings': core.watch,
         'source_reader': _build_reader(core, source, gate_services),
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
@@ -1,6 +1,7 @@
 """Start and graceful stop of all services of one process."""
 
 import asyncio
+import math
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -26,12 +27,17 @@
 
 
 class Readiness:
-    """Readiness of the daemon for requests of clients."""
+    """Readiness of the daemon for requests of clients.
+
+    Requests that may last beyond ``stops_at``, a time of the event loop, are
+    not accepted.
+    """
 
     def __init__(self, snapshots: SnapshotStore) -> None:
         """Report the daemon as ready once there is a snapshot."""
         self._snapshots = snapshots
         self.is_stopping = False
+        self.stops_at = math.inf
 
     def is_ready(self) -> bool:
         """Return whether the platform should send clients to this daemon."""
@@ -64,9 +70,14 @@
         self.readiness.is_stopping = True
         self.gate.close(GATE_STOPPING)
         self.ingress.disable_keep_alive()
+        stops_at = asyncio.get_running_loop().time() + find_stop_seconds(
+            settings
+        )
         with suppress(TimeoutError):
-            async with asyncio.timeout(find_stop_seconds(settings)):
-                await self._drain(find_traffic_shift_seconds(settings))
+            async with asyncio.timeout_at(stops_at):
+                await asyncio.sleep(find_traffic_shift_seconds(settings))
+                self.readiness.stops_at = stops_at
+                await self._drain()
         self.telemetry.observe(
             DaemonStopped(
                 settings.vm, self.ingress.in_progress, self.calls.in_progress
@@ -74,8 +85,7 @@
         )
         await self.registry.stop()
 
-    async def _drain(self, traffic_shift_seconds: float) -> None:
-        await asyncio.sleep(traffic_shift_seconds)
+    async def _drain(self) -> None:
         self.ingress.close_idle()
         while True:
             if not (self.ingress.in_progress or self.calls.in_progress):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -30,6 +30,7 @@
         self._limits = limits
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
+        self._is_draining = False
 
     @property
     def in_progress(self) -> int:
@@ -54,7 +55,11 @@
             connection.is_closing = True
 
     def close_idle(self) -> None:
-        """Close idle connections now, and busy ones when they become idle."""
+        """Close idle connections now, and busy ones when they become idle.
+
+        Later connections close after their first response.
+        """
+        self._is_draining = True
         for connection in tuple(self._connections):
             connection.close_when_idle()
 
@@ -65,9 +70,11 @@
         self.close_idle()
 
     def _make_connection(self) -> ServerConnection:
-        return ServerConnection(
+        connection = ServerConnection(
             self._handler,
             self._limits,
             self._connections,
             self._on_error,
         )
+        connection.is_closing = self._is_draining
+        return connection
--- a/packages/wagtailline-sidecar/tests/test_admission.py
+++ b/packages/wagtailline-sidecar/tests/test_admission.py
@@ -1,5 +1,7 @@
 """Tests of admission by route, key, snapshot age and quota."""
 
+import math
+
 import pytest
 from _fixtures import (
     HOST,
@@ -9,6 +11,7 @@
     make_route,
 )
 
+from wagtailline.calls import Refusal
 from wagtailline_sidecar._exchange import RequestBody
 from wagtailline_sidecar.admission import Admission
 from wagtailline_sidecar.header_names import HeaderNames
@@ -30,7 +33,13 @@
         return 'share=1'
 
 
-def make_admission(*routes, accounts=(), wait_seconds=0, has_snapshot=True):
+def make_admission(
+    *routes,
+    accounts=(),
+    wait_seconds=0,
+    has_snapshot=True,
+    stops_at=math.inf,
+):
     clock = FakeClock()
     snapshots = SnapshotStore(clock, lambda event: None)
     if has_snapshot:
@@ -43,6 +52,7 @@
         HeaderNames(),
         lambda: MAX_KEY_SNAPSHOT_AGE_SECONDS,
         lambda: MAX_DENIAL_AGE_SECONDS,
+        lambda: stops_at,
     )
     return admission, clock
 
@@ -148,3 +158,18 @@
     client_request = (await admission.admit(request(key='studio-key'))).ok_value
     assert nested_request.is_nested
     assert not client_request.is_nested
+
+
+@pytest.mark.parametrize(
+    ('stops_at', 'is_admitted'), [(101, True), (100.9, False)]
+)
+async def test_request_that_may_outlast_the_daemon_is_refused(
+    stops_at, is_admitted
+):
+    """Guards against requests that are cut when the process ends."""
+    route = make_route(timeout_seconds=1.0, is_public=True)
+    admission, _ = make_admission(route, stops_at=stops_at)
+    outcome = await admission.admit(request())
+    assert outcome.is_ok() == is_admitted
+    if not is_admitted:
+        assert outcome.err_value == Refusal('daemon_stopping', 'no')
--- a/tests/wagtailline_platform/test_whole_path.py
+++ b/tests/wagtailline_platform/test_whole_path.py
@@ -176,6 +176,35 @@
     assert (await send_request(fleet.vms[1], '/status/1'))[0] == 200
 
 
+async def test_request_late_in_a_stop_is_refused_unless_it_can_end(fleet):
+    """Guards against late requests that are passed on and cut by the stop.
+
+    They came on new connections, and were cut at the end of the grace period.
+    """
+    configuration = make_configuration(2)
+    configuration['routes']['status']['timeoutMs'] = 5000
+    fleet.platform.put('op/config', configuration)
+    await asyncio.sleep(MAX_PROPAGATION_SECONDS)
+    for vm in fleet.vms:
+        vm.upstream.service_seconds = 4
+    stopping = fleet.vms[0]
+    early = asyncio.ensure_future(send_request(stopping, '/status/0'))
+    await asyncio.sleep(0.2)
+    stopping.terminate()
+    await asyncio.sleep(3)
+    status, headers, _ = await send_request(
+        stopping, '/status/1', request_id='late'
+    )
+    assert status == 503
+    assert float(headers['retry-after']) > 0
+    assert headers['connection'] == 'close'
+    assert not fleet.runs('late')
+    for vm in fleet.vms:
+        vm.upstream.service_seconds = 0
+    assert (await send_request(stopping, '/order/1'))[0] == 200
+    assert (await early)[0] == 200
+
+
 async def test_daemon_that_the_store_rejects_uses_peers(fleet):
     """Guards against denied keys while peers have a current snapshot."""
     fleet.platform.refused_hosts = {fleet.vms[0].host}
