Doubt an upstream whose connections ended between two requests

Callers could see: none failed, but a cold endpoint got 60 requests in a second where 14 are allowed (FAILBACK; it may crash). Cause: a restart was noticed by a request that failed, or by a registration. An upstream that restarts under its old identity while none is in progress ends only idle connections, which were dropped without a word; with no open connection nothing told of it at all. The gate then believed a cold upstream warm until the new registration arrived, up to drain_ms later. The class: a belief outlives what it rests on. Change: the end of an idle connection by the upstream, and a new connection when none is open, raise the doubt that a reset raises; the health check or a response on an older connection ends it.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -53,7 +53,8 @@
     """Protocol of one connection, which carries one request at a time.
 
     A connection that received bytes outside of an expected response is not
-    reused. ``opened_at`` is the time at which its pool opened it.
+    reused. ``opened_at`` is the time at which its pool opened it, and
+    ``on_idle_lost`` is called if the server ends it between two requests.
     """
 
     def __init__(self) -> None:
@@ -76,6 +77,7 @@
         self._must_close = False
         self._limits = ResponseLimits()
         self._on_data: Callable[[], None] | None = None
+        self.on_idle_lost: Callable[[], None] | None = None
         self.keep_alive_timeout_seconds: float | None = None
         self.first_byte_at: float | None = None
         self.opened_at = float('-inf')
@@ -90,6 +92,11 @@
             or self._request is not None
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether neither side has ended the connection."""
+        return not (self._is_lost or self._must_close)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
         self._transport = cast(asyncio.Transport, transport)
@@ -103,8 +110,11 @@
         A clean end of the connection completes a body without framing
         headers.
         """
+        is_unexpected = self.is_reusable
         self._is_lost = True
         self._lost_cleanly = exc is None
+        if is_unexpected and self.on_idle_lost is not None:
+            self.on_idle_lost()
         if self._is_head_complete and not self._has_framing():
             self._is_complete = exc is None
         self._wake()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -95,6 +95,7 @@
         )
         self.observe_answer: Callable[[float], None] = _ignore_answer
         self._idle: list[_IdleConnection] = []
+        self._connections: set[ClientConnection] = set()
 
     async def run(
         self, request: CallRequest, body: Body, seconds: float
@@ -168,8 +169,17 @@
         if connection.is_reusable:
             now = self._clock.monotonic()
             self._idle.append(_IdleConnection(connection, now))
+            connection.on_idle_lost = self._note_idle_loss
         return answer
 
+    def _note_idle_loss(self) -> None:
+        """Report that the upstream ended a connection that was not in use.
+
+        It announces how long idle connections stay open, and those are closed
+        here before; so it may have restarted.
+        """
+        self.observe_failure(ConnectionFailure(is_refused=False))
+
     async def _connect(self) -> ClientConnection:
         now = self._clock.monotonic()
         while self._idle:
@@ -183,12 +193,25 @@
             if is_fresh and idle_connection.connection.is_reusable:
                 return idle_connection.connection
             idle_connection.connection.close()
+        self._note_gap()
         connection = await open_connection(
             self._address, CONNECT_TIMEOUT_SECONDS
         )
         connection.opened_at = self._clock.monotonic()
+        self._connections.add(connection)
         return connection
 
+    def _note_gap(self) -> None:
+        """Report that no connection is open.
+
+        The upstream may have restarted since the last one was.
+        """
+        self._connections = {
+            connection for connection in self._connections if connection.is_open
+        }
+        if not self._connections:
+            self.observe_failure(ConnectionFailure(is_refused=False))
+
     def _request_headers(self, request: CallRequest, seconds: float) -> Headers:
         names = self._names
         timeout_ms = max(int(seconds * _MILLISECONDS_PER_SECOND), 1)
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -9,7 +9,7 @@
 from wagtailline.calls import BodyTruncated, CallRequest, WholeBody
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
-from wagtailline_sidecar.upstream import Upstream
+from wagtailline_sidecar.upstream import ConnectionFailure, Upstream
 
 REQUEST = CallRequest(
     version=1,
@@ -180,6 +180,93 @@
     assert answered.ok_value.status == 200
 
 
+async def test_restart_between_two_requests_is_noticed():
+    """Guards against a cold upstream that counts as warm (FAILBACK).
+
+    It restarted while no request was in progress, so none failed, and the next
+    ones went to the new process over new connections.
+    """
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        await restarted.wait()
+        writer.close()
+
+    restarted = asyncio.Event()
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(request_id=b'x-id'), BootClock())
+    failures: list = []
+    noticed = asyncio.Event()
+    upstream.observe_failure = lambda failure: (
+        failures.append(failure),
+        noticed.set(),
+    )
+    async with asyncio.timeout(5):
+        await upstream.run(make_request(b'one'), WholeBody(), 0.5)
+        failures.clear()
+        noticed.clear()
+        restarted.set()
+        await noticed.wait()
+    assert failures == [ConnectionFailure(is_refused=False)]
+    server.close()
+
+
+async def test_connection_closed_by_the_daemon_is_no_restart():
+    """Guards against a doubt about an upstream that goes on as before."""
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        await reader.read()
+        ended.set()
+
+    ended = asyncio.Event()
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(request_id=b'x-id'), BootClock())
+    failures: list = []
+    upstream.observe_failure = failures.append
+    async with asyncio.timeout(5):
+        await upstream.run(make_request(b'one'), WholeBody(), 0.5)
+        failures.clear()
+        upstream.close_idle()
+        await ended.wait()
+    assert not failures
+    server.close()
+
+
+async def test_gap_between_two_connections_is_noticed():
+    """Guards against a cold upstream that counts as warm (FAILBACK).
+
+    Nothing tells of a restart while no connection is open.
+    """
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
+            b'connection: close\r\ncontent-length: 0\r\n\r\n'
+        )
+        writer.close()
+
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(request_id=b'x-id'), BootClock())
+    failures: list = []
+    upstream.observe_failure = failures.append
+    async with asyncio.timeout(5):
+        await upstream.run(make_request(b'one'), WholeBody(), 0.5)
+        failures.clear()
+        await upstream.run(make_request(b'one'), WholeBody(), 0.5)
+    assert failures == [ConnectionFailure(is_refused=False)]
+    server.close()
+
+
 def make_request(request_id: bytes) -> CallRequest:
     return REQUEST._replace(headers=((b'x-id', request_id),))
 
