Let the fake platform end its watches in time

Seen beside five busy processes: test_change_that_a_watch_did_not_hear_is_found fails with SourceUnavailable(reason='timeout'). Alone it passes, but the run then crashes in the summary. Cause: the fake, not the reader. It counted polls of 10 ms, each of which lasts longer on a busy machine, so its answer came after the 0.7 s that the reader allows. The crash and the eleven warnings come from streams of the fake and of scripted servers that were closed after their loop had ended. Change: the watch ends by the clock; streams close with their handler.

--- a/packages/wagtailline-lab/src/wagtailline_lab/registry_platform.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/registry_platform.py
@@ -104,6 +104,8 @@
                 await asyncio.sleep(self.delay_seconds)
                 await self._send(writer, await self._answer(head, host))
         except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
             writer.close()
 
     async def _send(self, writer: asyncio.StreamWriter, content: bytes) -> None:
@@ -128,8 +130,9 @@
 
     async def _answer_watch(self, query: Mapping[str, list[str]]) -> bytes:
         prefix, after = query['prefix'][0], int(query['after'][0])
-        polls = int(query['waitMs'][0]) / _MILLISECONDS_PER_SECOND
-        polls /= _WATCH_POLL_SECONDS
+        loop = asyncio.get_running_loop()
+        wait_seconds = int(query['waitMs'][0]) / _MILLISECONDS_PER_SECOND
+        ends_at = loop.time() + wait_seconds
         if after < self.oldest_revision:
             return _encode_response(_GONE, b'')
         while True:
@@ -138,8 +141,8 @@
                 for key, item in self._history
                 if key.startswith(prefix) and item.revision > after
             ]
-            polls -= 1
-            if polls <= 0 or (changes and not self.is_mute):
+            is_over = loop.time() + _WATCH_POLL_SECONDS >= ends_at
+            if is_over or (changes and not self.is_mute):
                 break
             await asyncio.sleep(_WATCH_POLL_SECONDS)
         events = [] if self.is_mute else changes
--- /dev/null
+++ b/packages/wagtailline-lab/tests/test_registry_platform.py
@@ -0,0 +1,31 @@
+"""Tests of the fake platform."""
+
+import asyncio
+
+import pytest
+
+from wagtailline_lab import registry_platform
+from wagtailline_lab.registry_platform import RegistryPlatform
+
+WAIT_SECONDS = 2.0
+MAX_DELAY_SECONDS = 0.1
+
+
+@pytest.mark.looptime
+async def test_watch_ends_in_time_on_a_busy_machine(monkeypatch):
+    """Guards against readers that time out because the fake is late.
+
+    It counted its polls, each of which lasts longer on a busy machine.
+    """
+    sleep = asyncio.sleep
+
+    async def oversleep(seconds: float) -> None:
+        await sleep(seconds * 2)
+
+    monkeypatch.setattr(registry_platform.asyncio, 'sleep', oversleep)
+    platform = RegistryPlatform()
+    query = f'?prefix=&after=0&waitMs={int(WAIT_SECONDS * 1000)}'
+    started_at = asyncio.get_running_loop().time()
+    await platform._answer(f'GET /watch{query} X'.encode(), '127.0.0.1')
+    took_seconds = asyncio.get_running_loop().time() - started_at
+    assert took_seconds <= WAIT_SECONDS + MAX_DELAY_SECONDS
--- a/packages/wagtailline-sidecar/tests/_peers.py
+++ b/packages/wagtailline-sidecar/tests/_peers.py
@@ -52,7 +52,17 @@
 
 async def serve_script(script: Script) -> tuple[asyncio.Server, Address]:
     """Start a server on a free port that runs ``script`` per connection."""
-    server = await asyncio.start_server(script, HOST, 0)
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await script(reader, writer)
+        finally:
+            # A stream that is closed after its loop has ended raises an error.
+            writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
     return server, Address(HOST, server.sockets[0].getsockname()[1])
 
 
