--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/reading.py
@@ -0,0 +1,27 @@
+"""State of the source at one revision, as it was read."""
+
+from typing import NamedTuple
+
+from wagtailline_sidecar.model import Configuration, Endpoint
+
+
+class Reading(NamedTuple):
+    """Consistent state of the source at one revision.
+
+    ``configuration`` is None when the source holds no valid configuration. The
+    endpoints may be those of a later revision, ``endpoints_revision``.
+    """
+
+    revision: int
+    configuration: Configuration | None
+    endpoints: tuple[Endpoint, ...]
+    closed_data_centres: frozenset[str]
+    endpoints_revision: int = 0
+
+
+class EarlyEndpoints(NamedTuple):
+    """Endpoints that were read while a reading of the source goes on."""
+
+    revision: int
+    endpoints: tuple[Endpoint, ...]
+    requested_at: float
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -6,6 +6,7 @@
 from wagtailline.ports import Address
 from wagtailline_sidecar.checks import ConfigurationFault, check_configuration
 from wagtailline_sidecar.model import Configuration, Endpoint, Snapshot
+from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.routing import RouteTable
 
 # After an outage of the source, endpoints register again within about 2 s.
@@ -21,28 +22,6 @@
         """Return the time since boot, including suspended time."""
 
 
-class Reading(NamedTuple):
-    """Consistent state of the source at one revision.
-
-    ``configuration`` is None when the source holds no valid configuration. The
-    endpoints may be those of a later revision, ``endpoints_revision``.
-    """
-
-    revision: int
-    configuration: Configuration | None
-    endpoints: tuple[Endpoint, ...]
-    closed_data_centres: frozenset[str]
-    endpoints_revision: int = 0
-
-
-class EarlyEndpoints(NamedTuple):
-    """Endpoints that were read while a reading of the source goes on."""
-
-    revision: int
-    endpoints: tuple[Endpoint, ...]
-    requested_at: float
-
-
 class PictureInstalled(NamedTuple):
     """Event: a new version or a changed set of endpoints is in force."""
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -30,7 +30,12 @@
     decode_configuration,
 )
 from wagtailline_sidecar.model import Endpoint, Snapshot
-from wagtailline_sidecar.snapshot import Reading, SnapshotStore
+from wagtailline_sidecar.reading import (
+    Reading,
+)
+from wagtailline_sidecar.snapshot import (
+    SnapshotStore,
+)
 
 _MILLISECONDS_PER_SECOND = 1000
 _DIGEST_BYTES = 8
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -11,6 +11,10 @@
 from wagtailline.placement import rank_nodes
 from wagtailline.ports import SourceUnavailable
 from wagtailline_sidecar.clock import BootClock
+from wagtailline_sidecar.reading import (
+    EarlyEndpoints,
+    Reading,
+)
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
@@ -21,9 +25,8 @@
     SourceRegained,
 )
 from wagtailline_sidecar.refresh_periods import RefreshPeriods
+from wagtailline_sidecar.refresh_tree import find_ancestors
 from wagtailline_sidecar.snapshot import (
-    EarlyEndpoints,
-    Reading,
     SnapshotStore,
 )
 from wagtailline_sidecar.snapshot_exchange import (
@@ -37,9 +40,6 @@
 READ_WAIT_SECONDS = 0.25
 # Shortest time from one fetch to the next.
 MIN_FETCH_PERIOD_SECONDS = 0.1
-# Number of daemons that fetch from one. A change passes the link of each VM
-# only this many times, whatever the size of the data centre.
-FANOUT = 4
 # Period of readings while the source fails and a peer helps.
 HELPED_PERIOD_SECONDS = 0.45
 # Number of other daemons that are asked after a failed reading.
@@ -336,16 +336,3 @@
                     self._location.link_megabits_per_second if is_self else 0,
                 )
             )
-
-
-def find_ancestors(hosts: list[str], host: str) -> list[str]:
-    """Return the hosts between a host and the root of the tree, parent first.
-
-    A host that is not listed counts as the last one.
-    """
-    position = hosts.index(host) if host in hosts else len(hosts)
-    ancestors = []
-    while position > 0:
-        position = (position - 1) // FANOUT
-        ancestors.append(hosts[position])
-    return ancestors
--- a/packages/wagtailline-sidecar/tests/test_admission.py
+++ b/packages/wagtailline-sidecar/tests/test_admission.py
@@ -15,8 +15,13 @@
 from wagtailline_sidecar._exchange import RequestBody
 from wagtailline_sidecar.admission import Admission
 from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.reading import (
+    Reading,
+)
 from wagtailline_sidecar.server_connection import IncomingRequest
-from wagtailline_sidecar.snapshot import Reading, SnapshotStore
+from wagtailline_sidecar.snapshot import (
+    SnapshotStore,
+)
 
 MAX_KEY_SNAPSHOT_AGE_SECONDS = 4.5
 MAX_DENIAL_AGE_SECONDS = 2.0
--- a/packages/wagtailline-sidecar/tests/test_snapshot.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot.py
@@ -9,11 +9,13 @@
 
 from wagtailline.ports import Address
 from wagtailline_sidecar.model import ServiceWeight
+from wagtailline_sidecar.reading import (
+    EarlyEndpoints,
+    Reading,
+)
 from wagtailline_sidecar.snapshot import (
     OUTAGE_THRESHOLD_SECONDS,
     REGISTRATION_GRACE_SECONDS,
-    EarlyEndpoints,
-    Reading,
     SnapshotStore,
 )
 
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -15,7 +15,13 @@
 from wagtailline.streams import StreamTransport
 from wagtailline.uplink import Uplink
 from wagtailline_sidecar.model import RequestKind, ServiceWeight
-from wagtailline_sidecar.snapshot import EarlyEndpoints, Reading, SnapshotStore
+from wagtailline_sidecar.reading import (
+    EarlyEndpoints,
+    Reading,
+)
+from wagtailline_sidecar.snapshot import (
+    SnapshotStore,
+)
 from wagtailline_sidecar.snapshot_exchange import (
     SNAPSHOT_KINDS,
     SnapshotExchange,
--- a/packages/wagtailline-sidecar/tests/test_source_reader.py
+++ b/packages/wagtailline-sidecar/tests/test_source_reader.py
@@ -9,20 +9,27 @@
 
 from wagtailline.placement import rank_nodes
 from wagtailline.ports import Address, SourceUnavailable
+from wagtailline_sidecar.reading import (
+    Reading,
+)
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
     RefreshEnded,
 )
 from wagtailline_sidecar.refresh_periods import plan_refreshes
-from wagtailline_sidecar.snapshot import Reading, SnapshotStore
+from wagtailline_sidecar.refresh_tree import (
+    FANOUT,
+    find_ancestors,
+)
+from wagtailline_sidecar.snapshot import (
+    SnapshotStore,
+)
 from wagtailline_sidecar.snapshot_exchange import PeerReading, PeerUnavailable
 from wagtailline_sidecar.source_reader import (
-    FANOUT,
     Location,
     Origins,
     SourceReader,
-    find_ancestors,
 )
 
 HOSTS = tuple(
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -188,11 +188,7 @@
     """
 
     async def script(reader, writer):
-        await read_head(reader)
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
-            b'content-length: 0\r\n\r\n'
-        )
+        await answer_one(reader, writer)
         await restarted.wait()
         writer.close()
 
@@ -219,11 +215,7 @@
     """Guards against a doubt about an upstream that goes on as before."""
 
     async def script(reader, writer):
-        await read_head(reader)
-        writer.write(
-            b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
-            b'content-length: 0\r\n\r\n'
-        )
+        await answer_one(reader, writer)
         await reader.read()
         ended.set()
 
@@ -267,6 +259,15 @@
     server.close()
 
 
+async def answer_one(reader, writer) -> None:
+    """Answer the request whose id is ``one``, and keep the connection."""
+    await read_head(reader)
+    writer.write(
+        b'HTTP/1.1 200 OK\r\nwagtailline-seal: 1\r\nx-id: one\r\n'
+        b'content-length: 0\r\n\r\n'
+    )
+
+
 def make_request(request_id: bytes) -> CallRequest:
     return REQUEST._replace(headers=((b'x-id', request_id),))
 
