Let a parent show twice a second that it is not silent

Cause: a daemon waited for a second and a fifth before it took its parent for silent. With the other ancestors and the reading of a large configuration over its own link, nothing was left of the time that a leaving may take. Change: a parent replies after half a second without news as well. A reply that changes no endpoint costs nothing more, however many there are. Result: the new test, with readings of 0.9 s, fails before and passes.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_periods.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_periods.py
@@ -11,8 +11,10 @@
 _MAX_READ_SECONDS = 0.9
 _MAX_REPLY_SECONDS = 0.4
 _MAX_REFRESH_AGE_SECONDS = 2.0
-# A daemon waits at its parent for a little longer than its parent's period.
-_FETCH_MARGIN_SECONDS = 0.1
+# A parent replies after this time without news as well, which shows that it
+# is not silent.
+_FETCH_WAIT_FRACTION = 0.5
+_MAX_FETCH_WAIT_SECONDS = 0.5
 
 
 class RefreshPeriods(NamedTuple):
@@ -40,7 +42,9 @@
     )
     return RefreshPeriods(
         read,
-        read + _FETCH_MARGIN_SECONDS,
+        min(
+            propagation_seconds * _FETCH_WAIT_FRACTION, _MAX_FETCH_WAIT_SECONDS
+        ),
         reply_timeout,
         reply_timeout * _LATE_REPLY_FRACTION,
         min(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -185,6 +185,8 @@
         if self._snapshot is not None and revision < self._endpoints_revision:
             return self._snapshot.endpoints
         self._endpoints_revision = revision
+        if self._snapshot is not None and offered is self._snapshot.endpoints:
+            return offered
         listed = self._add_expired(offered) if may_add else offered
         return _keep_latest(listed)
 
--- a/packages/wagtailline-sidecar/tests/test_source_reader.py
+++ b/packages/wagtailline-sidecar/tests/test_source_reader.py
@@ -346,6 +346,28 @@
         assert fleet.stores[hosts[-1]].current.revision == fleet.revision
 
 
+@pytest.mark.looptime
+async def test_reader_that_loses_its_silent_ancestors_still_has_time_to_read():
+    """Guards against requests to a leaving endpoint while VMs are cut off.
+
+    Where a reading takes as long as that of a large configuration over a slow
+    link, the detection of silent ancestors may take the rest only.
+    """
+    hosts = tuple(
+        rank_nodes('oslo-a', [f'10.0.1.{number}' for number in range(60)])
+    )
+    for phase in range(8):
+        fleet = Fleet(hosts, MAX_PROPAGATION_LARGE_SECONDS)
+        await fleet.start()
+        await asyncio.sleep(3 + phase * fleet.periods.read / 8)
+        fleet.read_seconds = 0.9
+        for host in find_ancestors(list(hosts), hosts[-1]):
+            await fleet.kill(host)
+        fleet.publish()
+        await asyncio.sleep(MAX_PROPAGATION_LARGE_SECONDS)
+        assert fleet.stores[hosts[-1]].current.revision == fleet.revision
+
+
 def test_tree_spreads_the_work_and_has_no_cycle():
     """Guards against one daemon whose link sends every change to all others."""
     hosts = [f'10.0.0.{number}' for number in range(200)]
