Close the streams of the scripted upstream with their handler

Change: the scripted upstream of the daemon's tests closes its stream also when its handler is cancelled.

--- a/packages/wagtailline-daemon/tests/upstream/test_client.py
+++ b/packages/wagtailline-daemon/tests/upstream/test_client.py
@@ -34,6 +34,13 @@
 
     async def serve(self, reader, writer):
         self.connections += 1
+        try:
+            await self._answer_all(reader, writer)
+        finally:
+            self.ended.set()
+            writer.close()
+
+    async def _answer_all(self, reader, writer):
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
                 self.received += data
@@ -41,8 +48,6 @@
                     await self._answer(writer)
                 if self.closes_after_answer:
                     break
-        self.ended.set()
-        writer.close()
 
     async def _answer(self, writer):
         for index, piece in enumerate(self.answer):
