Compare revisions of the source by their number

Cause: read again as a newcomer would, the check that no other item had changed built a set of all revisions up to the one that the source states. A wrong one would have taken all memory of the daemon. Change: the number of revisions is compared; overtake returns nothing, since nobody used it. Result: the new test, with a revision of 10**15, ends; it was not run on the code before, where it would not end.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
@@ -83,7 +83,8 @@
     source. If it is not, or the history is gone, all items are read again.
 
     Items whose keys begin with ``prompt_prefix`` are small. Their changes can
-    overtake the others with ``overtake``.
+    overtake the others with ``overtake``; ``prompt_revision`` is that of the
+    last one that was applied.
     """
 
     def __init__(
@@ -136,10 +137,10 @@
             if revision > self.revision
         }
 
-    async def overtake(self, client: SourceClient, wait_seconds: float) -> bool:
+    async def overtake(self, client: SourceClient, wait_seconds: float) -> None:
         """Apply changes of small items while a refresh goes on.
 
-        ``client`` has a connection of its own. Returns whether there were any.
+        ``client`` has a connection of its own.
         """
         changes = await client.watch(
             self._prompt_prefix, self.prompt_revision, wait_seconds
@@ -147,7 +148,6 @@
         for change in changes.items:
             self._apply_newer(change)
             self.prompt_revision = max(self.prompt_revision, change.revision)
-        return bool(changes.items)
 
     async def _follow(self, wait_seconds: float) -> bool:
         """Apply the changes since the last refresh if there are all of them."""
@@ -177,7 +177,8 @@
         for change in changes.items:
             self._apply_newer(change)
             revisions.add(change.revision)
-        if revisions != set(range(self.revision, changes.revision + 1)):
+        missing = changes.revision - self.revision + 1 - len(revisions)
+        if missing or max(revisions) > changes.revision:
             return False
         self.revision = changes.revision
         return True
--- a/packages/wagtailline-sidecar/tests/test_source_replica.py
+++ b/packages/wagtailline-sidecar/tests/test_source_replica.py
@@ -171,3 +171,17 @@
     await harness.refresh()
     assert harness.contents.keys() == {'op/config', 'servers/i-1'}
     assert harness.replica.prompt_revision == harness.client.revision
+
+
+async def test_revision_far_ahead_leads_to_a_whole_reading():
+    """Guards against a revision of the source that takes up all memory."""
+    harness = await make_settled_harness()
+    harness.replica.avoids_history = True
+    watch = harness.client.watch
+
+    async def watch_ahead(prefix, after, wait_seconds):
+        changes = await watch(prefix, after, wait_seconds)
+        return changes._replace(revision=10**15)
+
+    harness.client.watch = watch_ahead
+    assert await harness.refresh() == ['watch', 'fresh']
