Log the limits and leavings that upstreams name in responses

The gate now logs rate_limit_started, rate_limit_ended, rate_limit_ignored and upstream_leaving, and gate_call_ended carries the limit. Only sealed responses, refusals that say "not run" and health checks that name their instance count; a misdirected request proves nothing.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -17,6 +17,7 @@
 from wagtailline_sidecar.gate_service import GateService
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
 from wagtailline_sidecar.peer_calls import PeerCalls, Peers
+from wagtailline_sidecar.rate_limit import RateLimit
 from wagtailline_sidecar.settings import SidecarSettings, parse_address
 from wagtailline_sidecar.snapshot_exchange import SnapshotExchange
 from wagtailline_sidecar.upstream import Upstream
@@ -41,7 +42,7 @@
     warm_up = WarmUp(
         core.clock, core.follow_settings(bounds.find_warm_up_tolerance)
     )
-    gate = Gate(core.clock, warm_up)
+    gate = Gate(core.clock, warm_up, RateLimit(observe))
     address = parse_address(settings.upstream)
     upstream = Upstream(address, core.names, core.clock)
     local = LocalUpstream(
@@ -52,6 +53,7 @@
     )
     upstream.observe_failure = local.note_connection_failure
     upstream.observe_answer = local.note_answer
+    upstream.observe_notice = local.note_notice
     core.snapshots.subscribe(local.apply_snapshot)
     peers = _build_peers(core)
     uplink = Uplink(core.clock, _link_rate(settings))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
@@ -18,6 +18,7 @@
 from wagtailline_sidecar.capacity_belief import CapacityBelief
 from wagtailline_sidecar.moving_averages import MovingAverages
 from wagtailline_sidecar.rank_load import Rank, RankLoad
+from wagtailline_sidecar.rate_limit import RateLimit
 from wagtailline_sidecar.warm_up import WarmUp
 
 MAX_QUEUED = 256
@@ -105,7 +106,12 @@
 class Gate:
     """Concurrency limit of the local upstream with a priority queue."""
 
-    def __init__(self, clock: MonotonicClock, warm_up: WarmUp) -> None:
+    def __init__(
+        self,
+        clock: MonotonicClock,
+        warm_up: WarmUp,
+        rate_limit: RateLimit | None = None,
+    ) -> None:
         """Create a gate without slots; requests wait until some are set."""
         self._clock = clock
         self._warm_up = warm_up
@@ -116,6 +122,7 @@
         self._load = RankLoad(clock)
         self._timer: asyncio.TimerHandle | None = None
         self._closed_reason = ''
+        self.rate_limit = rate_limit or RateLimit()
         self.belief = CapacityBelief(clock)
         self.in_progress = 0
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -38,6 +38,7 @@
 
     ``in_progress`` and ``queued`` are the calls at the gate at that time,
     ``link_backlog_ms`` the time that the VM's link needs for their answers.
+    ``rate_limit`` is the limit that the upstream names, if any.
     """
 
     request: str
@@ -51,6 +52,7 @@
     queued: int
     warm_up: str
     link_backlog_ms: int
+    rate_limit: str = ''
 
 
 class GateService:
@@ -199,6 +201,7 @@
                 link_backlog_ms=int(
                     self._link.backlog_seconds * _MILLISECONDS_PER_SECOND
                 ),
+                rate_limit=self._gate.rate_limit.describe(),
             )
         )
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -12,6 +12,13 @@
     HealthReport,
     Upstream,
 )
+from wagtailline_sidecar.upstream_events import (
+    DoubtSettled,
+    UpstreamConfirmed,
+    UpstreamDoubted,
+    UpstreamLeaving,
+)
+from wagtailline_sidecar.upstream_notices import UpstreamNotice
 from wagtailline_sidecar.warm_up import WarmUp
 
 # Pause between two health checks of an upstream whose state is in doubt.
@@ -28,27 +35,6 @@
 _RESET = 'reset'
 
 
-class UpstreamConfirmed(NamedTuple):
-    """Event: a health check has settled the state of the upstream."""
-
-    instance: str
-    is_healthy: bool
-    warm_up_seconds: float
-
-
-class DoubtSettled(NamedTuple):
-    """Event: the upstream that reset a connection has not restarted."""
-
-    instance: str
-
-
-class UpstreamDoubted(NamedTuple):
-    """Event: the upstream may have restarted, or may be down or cold."""
-
-    reason: str
-    instance: str
-
-
 class LocalUpstream:
     """Service that tracks the registration and health of the upstream.
 
@@ -74,6 +60,7 @@
         self._check_requested = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
         self._reset_at: float | None = None
+        self._leaving_instance = ''
         self.is_down = False
 
     @property
@@ -155,6 +142,13 @@
         self._observe(DoubtSettled(self.identity))
         self._parts.gate.dispatch()
 
+    def note_notice(self, notice: UpstreamNotice) -> None:
+        """Apply what the upstream says of itself in a response."""
+        self._parts.gate.rate_limit.apply(notice)
+        if notice.is_leaving and notice.instance != self._leaving_instance:
+            self._leaving_instance = notice.instance
+            self._observe(UpstreamLeaving(notice.instance))
+
     def mark_doubtful(self, reason: str) -> None:
         """Treat the upstream as cold until it responds to a health check."""
         is_certain = not self._parts.warm_up.is_doubtful
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -28,6 +28,7 @@
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.http_messages import find_header
+from wagtailline_sidecar.upstream_notices import UpstreamNotice, read_notice
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Connections that were idle for longer are not reused, unless the upstream
@@ -68,6 +69,10 @@
     """Ignore a response; the default if no observer is set."""
 
 
+def _ignore_notice(notice: UpstreamNotice) -> None:
+    """Ignore a notice; the default if no observer is set."""
+
+
 def _ignore_failure(failure: ConnectionFailure) -> None:
     """Ignore a failure; the default if no observer is set."""
 
@@ -85,7 +90,8 @@
 
         The attribute ``observe_failure`` is called with each failure,
         ``observe_answer`` with the time at which the connection of each
-        response was opened.
+        response was opened, and ``observe_notice`` with what each response
+        of a known instance says of it.
         """
         self._address = address
         self._names = header_names
@@ -94,6 +100,7 @@
             _ignore_failure
         )
         self.observe_answer: Callable[[float], None] = _ignore_answer
+        self.observe_notice: Callable[[UpstreamNotice], None] = _ignore_notice
         self._idle: list[_IdleConnection] = []
         self._connections: set[ClientConnection] = set()
 
@@ -126,6 +133,10 @@
             # later is not the answer.
             answer.body.set_end(asyncio.get_running_loop().time() + seconds)
         outcome = self._classify_response(answer)
+        if _is_from_upstream(answer, self._names):
+            self.observe_notice(
+                read_notice(answer.headers, self._names, request.instance)
+            )
         if isinstance(outcome, Err):
             await _discard_body(answer)
         return outcome
@@ -143,9 +154,14 @@
             return None
         await _discard_body(answer)
         warm_up_ms = find_header(answer.headers, self._names.warm_up_ms) or b'0'
-        instance = find_header(answer.headers, self._names.instance) or b''
+        instance_field = find_header(answer.headers, self._names.instance)
+        instance = (instance_field or b'').decode('latin-1')
+        if instance:
+            self.observe_notice(
+                read_notice(answer.headers, self._names, instance)
+            )
         return HealthReport(
-            instance.decode('latin-1'),
+            instance,
             answer.status in _SUCCESS_STATUSES,
             _parse_number(warm_up_ms) / _MILLISECONDS_PER_SECOND,
         )
@@ -250,6 +266,19 @@
         await answer.body.aclose()
 
 
+def _is_from_upstream(answer: ClientResponse, names: HeaderNames) -> bool:
+    """Return whether the instance that was asked made the response.
+
+    Another instance at its address refuses the request as misdirected.
+    """
+    if answer.status == _MISDIRECTED_REQUEST:
+        return False
+    return any(
+        find_header(answer.headers, name) is not None
+        for name in (names.seal, names.not_executed)
+    )
+
+
 def _request_id_header(
     request: CallRequest, names: HeaderNames
 ) -> tuple[bytes, bytes] | None:
--- a/packages/wagtailline-sidecar/tests/test_gate_service.py
+++ b/packages/wagtailline-sidecar/tests/test_gate_service.py
@@ -8,6 +8,7 @@
 from wagtailline.uplink import Uplink
 from wagtailline_sidecar.answer_link import AnswerLink
 from wagtailline_sidecar.gate_service import GateService
+from wagtailline_sidecar.rate_limit import RateLimit
 
 REFUSED = Err(Refusal('wait_too_long', 'no'))
 
@@ -17,6 +18,7 @@
 
     in_progress = 0
     queued = 0
+    rate_limit = RateLimit()
 
     async def admit(self, ticket):
         self.ticket = ticket
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -10,6 +10,7 @@
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.upstream import ConnectionFailure, Upstream
+from wagtailline_sidecar.upstream_notices import RateLimitNamed, UpstreamNotice
 
 REQUEST = CallRequest(
     version=1,
@@ -275,3 +276,93 @@
 def find_id(head: bytes) -> bytes:
     _, _, rest = head.lower().partition(b'x-id: ')
     return rest.partition(b'\r')[0]
+
+
+async def notices_of(status: str, *header_lines: str) -> list[UpstreamNotice]:
+    """Return what a response says of its upstream."""
+    notices: list[UpstreamNotice] = []
+
+    async def script(reader, writer):
+        await read_head(reader)
+        fields = ''.join(
+            f'{header_line}\r\n'
+            for header_line in (*header_lines, 'Content-Length: 0')
+        )
+        writer.write(f'HTTP/1.1 {status}\r\n{fields}\r\n'.encode())
+        await reader.read()
+
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(), BootClock())
+    upstream.observe_notice = notices.append
+    await upstream.run(REQUEST, WholeBody(), 0.5)
+    server.close()
+    return notices
+
+
+@pytest.mark.parametrize(
+    ('status', 'header_line'),
+    [
+        ('200 OK', 'Wagtailline-Seal: 1'),
+        ('500 Internal Server Error', 'Wagtailline-Seal: 1'),
+        ('503 Service Unavailable', 'Wagtailline-Not-Run: 1'),
+    ],
+)
+async def test_responses_of_an_upstream_tell_its_limit(status, header_line):
+    """Guards against a limit that is named in some responses only (LIMIT)."""
+    assert await notices_of(
+        status,
+        header_line,
+        'Wagtailline-Rate-Limit: 2.5',
+        'Wagtailline-Leaving: 1',
+    ) == [UpstreamNotice('i-1', RateLimitNamed(2.5), is_leaving=True)]
+
+
+@pytest.mark.parametrize(
+    ('status', 'header_line'),
+    [
+        ('200 OK', 'Date: today'),
+        ('500 Internal Server Error', 'Date: today'),
+        ('421 Misdirected Request', 'Wagtailline-Seal: 1'),
+        ('421 Misdirected Request', 'Wagtailline-Not-Run: 1'),
+    ],
+)
+async def test_responses_of_others_tell_nothing_of_an_upstream(
+    status, header_line
+):
+    """Guards against a limit or a leaving of another instance.
+
+    A response without a seal may come from anywhere, and a misdirected
+    request has met another instance.
+    """
+    assert not await notices_of(
+        status,
+        header_line,
+        'Wagtailline-Rate-Limit: 2.5',
+        'Wagtailline-Leaving: 1',
+    )
+
+
+@pytest.mark.parametrize('instance', ['i-1', ''])
+async def test_health_check_tells_the_limit_of_the_instance(instance):
+    """Guards against a restarted daemon that waits for a first response.
+
+    A response that names no instance may come from another one.
+    """
+    notices: list[UpstreamNotice] = []
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n'
+            b'Wagtailline-Rate-Limit: 2.5\r\n'
+            + f'Wagtailline-Instance: {instance}\r\n\r\n'.encode()
+        )
+        await reader.read()
+
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(), BootClock())
+    upstream.observe_notice = notices.append
+    await upstream.check_health('/health')
+    server.close()
+    expected = UpstreamNotice('i-1', RateLimitNamed(2.5), is_leaving=False)
+    assert notices == ([expected] if instance else [])
