Keep the limits that upstreams name, at their gates

The class: a bound that only the upstream knows was not part of what the gate enforces. Now a token bucket of the named rate and one second's burst stands beside the one of the warm-up; a request starts when both allow it, so the smallest rate counts. What more urgent requests and nested calls go first within it is decided by the queue as for slots. The bucket is empty when a limit begins, an unreadable limit changes nothing, a response without one ends it, and a new incarnation starts without it.

Senders that passed one on name it in a header of their calls, and the gate takes their word until its upstream has responded.

Requests that the limit holds up too long are refused at once as rate_limited, which says that they did not run. Waiting requests are refused by their deadline also while a rate holds up the queue. The load that a gate reports rises with its utilisation, so that senders turn elsewhere before requests have to wait.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -42,7 +42,7 @@
     warm_up = WarmUp(
         core.clock, core.follow_settings(bounds.find_warm_up_tolerance)
     )
-    gate = Gate(core.clock, warm_up, RateLimit(observe))
+    gate = Gate(core.clock, warm_up, RateLimit(core.clock, observe))
     address = parse_address(settings.upstream)
     upstream = Upstream(address, core.names, core.clock)
     local = LocalUpstream(
@@ -67,6 +67,7 @@
             AnswerLink(uplink, settings.vm),
             core.clock,
             observe,
+            core.names,
         ),
         core.report_error,
         uplink,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -141,4 +141,10 @@
             window_seconds,
         )
 
-    return Forwarder(selector, peers, core.clock, make_budget)
+    return Forwarder(
+        selector,
+        peers,
+        core.clock,
+        make_budget,
+        core.names,
+    )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -19,8 +19,11 @@
 from wagtailline.ports import MonotonicClock
 from wagtailline.routing import RetryBudget
 from wagtailline_sidecar.admission import Admitted
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import Endpoint
 from wagtailline_sidecar.selection import Selector
+from wagtailline_sidecar.upstream_notices import read_notice
 
 # A request is not retried after more failed attempts than this that did not
 # reach an upstream, such as refusals by busy gates.
@@ -32,7 +35,9 @@
 _SUCCESS = range(200, 300)
 _MILLISECONDS_PER_SECOND = 1000
 # Refusals for these reasons do not indicate an unreachable endpoint.
-_BUSY_REASONS = frozenset(('wait_too_long', 'queue_full', 'deadline'))
+_BUSY_REASONS = frozenset(
+    ('wait_too_long', 'queue_full', 'deadline', 'rate_limited')
+)
 # Refusals for these reasons come from the upstream, not from its gate.
 _UPSTREAM_REASONS = frozenset(('upstream_shed', 'wrong_instance'))
 
@@ -87,11 +92,13 @@
         call_gate: CallHandler,
         clock: MonotonicClock,
         make_budget: Callable[[], RetryBudget],
+        names: HeaderNames,
     ) -> None:
         """Set up a forwarder that sends requests with ``call_gate``.
 
         ``make_budget`` creates the budget for the retries of one service.
         """
+        self._names = names
         self._selector = selector
         self._call_gate = call_gate
         self._clock = clock
@@ -197,7 +204,7 @@
             key_digest='',
             method=outgoing.method,
             target=outgoing.target,
-            headers=outgoing.headers,
+            headers=self._add_known_limit(outgoing.headers, endpoint),
             timeout_ms=remaining_ms,
             depth=int(admitted.is_nested),
             instance=endpoint.identity,
@@ -207,6 +214,20 @@
             target_ms=max(target_ms, 1),
         )
 
+    def _add_known_limit(self, headers: Headers, endpoint: Endpoint) -> Headers:
+        """Add the limit of an endpoint, which its gate may have forgotten."""
+        rate = self._selector.find_rate_limit(endpoint)
+        if rate is None:
+            return headers
+        return (*headers, (self._names.known_rate_limit, b'%r' % rate))
+
+    def _record_notice(self, endpoint: Endpoint, answer: Answer) -> None:
+        """Record what a response of an upstream says of it."""
+        if find_header(answer.headers, self._names.seal) is None:
+            return
+        notice = read_notice(answer.headers, self._names, endpoint.identity)
+        self._selector.record_notice(endpoint, notice)
+
     def _record_outcome(
         self,
         state: ForwardingState,
@@ -217,6 +238,7 @@
         match outcome:
             case Ok(answer):
                 state.upstream_attempts += 1
+                self._record_notice(endpoint, answer)
                 self._selector.record_response(
                     endpoint,
                     state.admitted.route,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
@@ -1,8 +1,9 @@
 """Admission control in front of the local upstream.
 
-A request waits in a priority queue until a concurrency slot is free and the
-rate limit of a cold upstream allows another start. One that can't be served in
-time is refused, at once where that is known.
+A request waits in a priority queue until a concurrency slot is free and both
+the rate limit of a cold upstream and the one that the upstream names allow
+another start. One that can't be served in time is refused, at once where that
+is known.
 """
 
 import asyncio
@@ -22,6 +23,8 @@
 from wagtailline_sidecar.warm_up import WarmUp
 
 MAX_QUEUED = 256
+# Reason of a refusal: the upstream has named a limit that is used up.
+RATE_LIMITED = 'rate_limited'
 # Weight of a new observation in the moving average of service times.
 _SMOOTHING_FACTOR = 0.1
 # Factor by which the longest service time falls with each observation.
@@ -122,7 +125,7 @@
         self._load = RankLoad(clock)
         self._timer: asyncio.TimerHandle | None = None
         self._closed_reason = ''
-        self.rate_limit = rate_limit or RateLimit()
+        self.rate_limit = rate_limit or RateLimit(clock)
         self.belief = CapacityBelief(clock)
         self.in_progress = 0
 
@@ -170,9 +173,9 @@
         )
 
     def _predict_wait_behind(self, rank: Rank, ahead: list[_Waiter]) -> float:
-        cold_wait = self._warm_up.wait_seconds(len(ahead) + 1)
+        start_wait = self._start_wait_seconds(len(ahead) + 1)
         if self.in_progress < self.slots and not ahead:
-            return cold_wait
+            return start_wait
         queued_seconds = sum(
             self.estimate_seconds(waiter.ticket.workload) for waiter in ahead
         )
@@ -183,7 +186,22 @@
         free_slots = max(
             slots - self._load.slots_before(rank), slots * _MIN_FREE_FRACTION
         )
-        return max(cold_wait, backlog_seconds / free_slots)
+        return max(start_wait, backlog_seconds / free_slots)
+
+    def _start_wait_seconds(self, starts: int) -> float:
+        """Return the seconds until all rate limits allow more starts."""
+        return max(
+            self._warm_up.wait_seconds(starts),
+            self.rate_limit.wait_seconds(starts),
+        )
+
+    def predict_load(self, rank: Rank) -> float:
+        """Return the seconds that senders should expect to wait here.
+
+        Beyond the wait of a request that arrives now, they include the one
+        that a limit of the upstream will cause if they go on as they do.
+        """
+        return self.predict_wait(rank) + self.rate_limit.crowding_seconds()
 
     async def admit(self, ticket: Ticket) -> Result[Slot, Refusal]:
         """Wait for a slot.
@@ -191,6 +209,7 @@
         A request that would start too late, or finds the queue full, is
         refused at once.
         """
+        self.rate_limit.record_arrival()
         if self._closed_reason:
             return Err(Refusal(self._closed_reason, 'no', 0))
         wait = max(
@@ -199,7 +218,7 @@
             ticket.transfer_seconds - self.estimate_seconds(ticket.workload),
         )
         if wait > self._max_wait_seconds(ticket):
-            return Err(self._refuse('wait_too_long', wait))
+            return Err(self._refuse(self._reason_to_wait(), wait))
         if self.queued >= MAX_QUEUED:
             return Err(self._refuse('queue_full', wait))
         slot: asyncio.Future[Result[Slot, Refusal]] = (
@@ -247,17 +266,30 @@
     def dispatch(self) -> None:
         """Grant free slots to the most urgent waiting requests."""
         now = self._clock.monotonic()
+        start_delay = self._start_waiting(now)
+        expiry_delay = self._refuse_expired(now)
+        delay = min(start_delay, expiry_delay)
+        if math.isfinite(delay):
+            self._schedule_dispatch(delay)
+
+    def _start_waiting(self, now: float) -> float:
+        """Start what may start now.
+
+        Return the seconds until rate limits allow the next start, or infinity
+        if none of them holds one up.
+        """
         while self.in_progress < self.slots and self._find_startable(now):
-            delay = self._warm_up.take_token()
+            delay = self._start_wait_seconds(1)
             if delay > 0:
-                self._schedule_dispatch(delay)
-                return
+                return delay
+            self._warm_up.take_token()
+            self.rate_limit.take_token()
             waiter = heapq.heappop(self._queue)
             self.in_progress += 1
             waiter.slot.set_result(
                 Ok(Slot(self, waiter.ticket.workload, waiter.rank, now))
             )
-        self._refuse_expired(now)
+        return math.inf
 
     def _find_startable(self, now: float) -> bool:
         """Return whether the head of the queue may start now.
@@ -306,28 +338,23 @@
         service_seconds = self.estimate_seconds(waiter.ticket.workload)
         return service_seconds * _MIN_SERVICE_FRACTION
 
-    def _refuse_expired(self, now: float) -> None:
+    def _refuse_expired(self, now: float) -> float:
         """Refuse waiting requests that can no longer meet their deadline.
 
-        If there is none yet, set a timer for the first.
+        Return the seconds until the next one can't, infinity without any.
         """
         self._refuse_hopeless(now)
         waiting = self._waiting()
         if not waiting:
-            return
-        first_expiry = min(
-            waiter.ticket.deadline - self._min_service_seconds(waiter)
-            for waiter in waiting
-        )
-        if first_expiry > now:
-            self._schedule_dispatch(first_expiry - now)
-            return
+            return math.inf
+        expiries: list[float] = []
         for waiter in waiting:
-            if (
-                waiter.ticket.deadline - self._min_service_seconds(waiter)
-                <= now
-            ):
+            expiry = waiter.ticket.deadline - self._min_service_seconds(waiter)
+            if expiry <= now:
                 waiter.slot.set_result(Err(self._refuse('deadline', 0)))
+            else:
+                expiries.append(expiry)
+        return min(expiries, default=math.inf) - now
 
     def _refuse_hopeless(self, now: float) -> None:
         """Refuse late requests that will not start before their deadline."""
@@ -338,7 +365,8 @@
             wait = self._predict_wait_behind(waiter.rank, ahead)
             earliest_end = now + wait + self._min_service_seconds(waiter)
             if earliest_end > waiter.ticket.deadline:
-                waiter.slot.set_result(Err(self._refuse('wait_too_long', wait)))
+                refusal = self._refuse(self._reason_to_wait(), wait)
+                waiter.slot.set_result(Err(refusal))
                 waiting.remove(waiter)
 
     def _schedule_dispatch(self, seconds: float) -> None:
@@ -359,5 +387,10 @@
                     granted.ok_value.release()
             raise
 
+    def _reason_to_wait(self) -> str:
+        """Return what makes requests wait, as a refusal names it."""
+        is_limited = self.rate_limit.wait_seconds(1) > 0
+        return RATE_LIMITED if is_limited else 'wait_too_long'
+
     def _refuse(self, reason: str, wait: float) -> Refusal:
         return Refusal(reason, 'no', int(wait * _MILLISECONDS_PER_SECOND))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -15,9 +15,12 @@
 from wagtailline_sidecar.answer_link import AnswerLink
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.gate import Gate, Slot, Ticket
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.local_upstream import LocalUpstream
 from wagtailline_sidecar.rank_load import Rank
 from wagtailline_sidecar.upstream import Upstream
+from wagtailline_sidecar.upstream_notices import parse_rate_limit
 
 # Time reserved for sending the response back to the daemon that made the call.
 RESPONSE_TRANSIT_SECONDS = 0.01
@@ -66,8 +69,10 @@
         link: AnswerLink,
         clock: BootClock,
         observe: Callable[[NamedTuple], None],
+        names: HeaderNames,
     ) -> None:
         """Set up a handler that passes each event to ``observe``."""
+        self._names = names
         self._link = link
         self._gate = gate
         self._upstream = upstream
@@ -80,6 +85,11 @@
     ) -> Result[Answer, Refusal]:
         """Run a call, or return a refusal that tells if it may have run."""
         arrived_at = self._clock.monotonic()
+        known_limit = find_header(request.headers, self._names.known_rate_limit)
+        if known_limit is not None:
+            self._gate.rate_limit.adopt(
+                request.instance, parse_rate_limit(known_limit)
+            )
         reason = self._local.refusal_reason
         if reason:
             refusal = Refusal(reason, 'no', _UNAVAILABLE_RETRY_MS)
@@ -160,7 +170,7 @@
         self, request: CallRequest, answer: Answer, slot: Slot
     ) -> Result[Answer, Refusal]:
         wait_seconds = max(
-            self._gate.predict_wait(Rank(request.depth == 0, request.priority)),
+            self._gate.predict_load(Rank(request.depth == 0, request.priority)),
             self._link.expected_seconds(request)
             - self._gate.estimate_seconds(request.route),
         )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/header_names.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/header_names.py
@@ -11,7 +11,8 @@
     ``not_executed`` responses of an upstream that did not run the request.
     ``warm_up_ms`` is set on responses to health checks. Responses of an
     upstream name its limit of requests per second in ``rate_limit``, and bear
-    ``leaving`` when it is about to stop.
+    ``leaving`` when it is about to stop. ``known_rate_limit`` is set on calls
+    between daemons only, by senders that have passed on such a limit.
     """
 
     request_id: bytes = b'wagtailline-request-id'
@@ -25,5 +26,6 @@
     warm_up_ms: bytes = b'wagtailline-warm-up-ms'
     rate_limit: bytes = b'wagtailline-rate-limit'
     leaving: bytes = b'wagtailline-leaving'
+    known_rate_limit: bytes = b'wagtailline-known-rate-limit'
     authorization: bytes = b'authorization'
     retry_after: bytes = b'retry-after'
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_messages.py
@@ -47,6 +47,12 @@
     return frozenset(token.strip().lower() for token in value.split(b','))
 
 
+def drop_headers(headers: Headers, names: Iterable[bytes]) -> Headers:
+    """Return the headers without those with the given lower-case names."""
+    dropped = frozenset(names)
+    return tuple(header for header in headers if header[0] not in dropped)
+
+
 def drop_hop_by_hop(
     headers: Headers, extra_names: Iterable[bytes] = ()
 ) -> Headers:
@@ -55,8 +61,9 @@
     ``extra_names`` are lower-case names of further headers to drop.
     """
     connection_options = split_tokens(find_header(headers, CONNECTION))
-    dropped = _HOP_BY_HOP | connection_options | frozenset(extra_names)
-    return tuple(header for header in headers if header[0] not in dropped)
+    return drop_headers(
+        headers, _HOP_BY_HOP | connection_options | frozenset(extra_names)
+    )
 
 
 def has_body(method: str, status: int) -> bool:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
@@ -152,6 +152,7 @@
             names.client_account,
             names.caller_service,
             names.expected_instance,
+            names.known_rate_limit,
         )
         forwarded = drop_hop_by_hop(headers, replaced_names)
         added = [(names.caller_service, self._service)]
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -55,6 +55,8 @@
         self._parts = parts
         self._observe = observe
         self._endpoint: Endpoint | None = None
+        # The last entry, also after it has expired.
+        self._registered: Endpoint | None = None
         self._health_path = _DEFAULT_HEALTH_PATH
         self._is_data_centre_closed = False
         self._check_requested = asyncio.Event()
@@ -92,6 +94,8 @@
         self._update_data_centre(snapshot)
         endpoint = _find_endpoint(snapshot, self._address)
         previous, self._endpoint = self._endpoint, endpoint
+        if endpoint is not None:
+            self._follow_incarnation(endpoint)
         self._refuse_waiting()
         if endpoint is None:
             return
@@ -108,6 +112,14 @@
         self._parts.gate.slots = max(endpoint.slots, _INITIAL_SLOTS)
         self._parts.gate.dispatch()
 
+    def _follow_incarnation(self, endpoint: Endpoint) -> None:
+        """Forget what an earlier incarnation said of itself."""
+        registered, self._registered = self._registered, endpoint
+        self._parts.gate.rate_limit.follow(endpoint.identity)
+        if registered is not None and _is_restart(registered, endpoint):
+            if registered.identity == endpoint.identity:
+                self._parts.gate.rate_limit.forget()
+
     def _refuse_waiting(self) -> None:
         """Refuse the waiting requests if the upstream gets no more of them.
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -8,6 +8,11 @@
 from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.model import Endpoint, Route, Snapshot
 from wagtailline_sidecar.moving_averages import MovingAverages
+from wagtailline_sidecar.upstream_notices import (
+    RateLimitAbsent,
+    RateLimitNamed,
+    UpstreamNotice,
+)
 
 # An endpoint is not selected for this time after a failure to reach it. Each
 # further failure doubles the time, up to the maximum.
@@ -86,6 +91,7 @@
         self.reported_at = float('-inf')
         self.failures = 0
         self.held_off_until = float('-inf')
+        self.rate_limit: float | None = None
 
 
 class Selector:
@@ -178,6 +184,19 @@
         )
         self._route_seconds.observe(route.name, took_seconds)
 
+    def record_notice(self, endpoint: Endpoint, notice: UpstreamNotice) -> None:
+        """Record what a response says of its endpoint."""
+        statistics = self._statistics_of(endpoint)
+        match notice.limit:
+            case RateLimitNamed(rate=rate):
+                statistics.rate_limit = rate
+            case RateLimitAbsent():
+                statistics.rate_limit = None
+
+    def find_rate_limit(self, endpoint: Endpoint) -> float | None:
+        """Return the limit that an endpoint named in its last response."""
+        return self._statistics_of(endpoint).rate_limit
+
     def record_size(self, route: Route, size_bytes: int) -> None:
         """Update the average response size of a route."""
         self._route_kilobytes.observe(route.name, size_bytes / 1000)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -27,7 +27,7 @@
 )
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
-from wagtailline_sidecar.http_messages import find_header
+from wagtailline_sidecar.http_messages import drop_headers, find_header
 from wagtailline_sidecar.upstream_notices import UpstreamNotice, read_notice
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -235,7 +235,8 @@
         if request.instance:
             instance = request.instance.encode('latin-1')
             added.append((names.expected_instance, instance))
-        return (*request.headers, *added)
+        forwarded = drop_headers(request.headers, (names.known_rate_limit,))
+        return (*forwarded, *added)
 
     def _classify_response(
         self, answer: ClientResponse
--- a/packages/wagtailline-sidecar/tests/test_answer_link.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_link.py
@@ -11,6 +11,7 @@
 from wagtailline_sidecar.answer_link import AnswerLink
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
+from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.warm_up import WarmUp
 
 LINK_BYTES_PER_SECOND = 625_000  # 5 Mbit/s
@@ -49,6 +50,7 @@
             AnswerLink(self.uplink, 'vm'),
             clock,
             self.events.append,
+            HeaderNames(),
         )
 
     async def call(self, sender: str = 'other'):
--- a/packages/wagtailline-sidecar/tests/test_cold_restart.py
+++ b/packages/wagtailline-sidecar/tests/test_cold_restart.py
@@ -5,11 +5,11 @@
 
 import pytest
 from _fixtures import make_configuration, make_endpoint, make_snapshot
+from _simulated_server import SimulatedServer, now
 
 from wagtailline.calls import CallRequest, WholeBody
 from wagtailline.ports import Address, LoopClock
 from wagtailline_sidecar import upstream as upstream_module
-from wagtailline_sidecar.client_connection import AnswerMissing, ClientResponse
 from wagtailline_sidecar.gate import Gate, Ticket
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
@@ -21,87 +21,11 @@
 WARM_UP_RATE = 6.0
 WARM_UP_SECONDS = 3.0
 TOLERANCE = WarmUpTolerance(overage=1.5, slack=5)
-SERVICE_SECONDS = 0.05
 SLOTS = 6
 REQUESTS_PER_SECOND = 60
 REQUEST = CallRequest(1, '10.0.0.1', 'status', '', '', 'GET', '/', (), 1000)
 
 
-class SimulatedServer:
-    """Server whose connections all end when it restarts cold."""
-
-    def __init__(self) -> None:
-        self.connections: set[SimulatedConnection] = set()
-        self.incarnation = 1
-        self.cold_until = float('-inf')
-        self.starts: list[float] = []
-
-    async def open(self, address, timeout_seconds) -> 'SimulatedConnection':
-        connection = SimulatedConnection(self)
-        self.connections.add(connection)
-        return connection
-
-    def restart(self) -> None:
-        self.incarnation += 1
-        self.starts.clear()
-        self.cold_until = now() + WARM_UP_SECONDS
-        for connection in tuple(self.connections):
-            connection.end()
-
-    def most_starts_in_one_second(self) -> int:
-        cold = [start for start in self.starts if start < self.cold_until]
-        return max(
-            (
-                sum(first <= start < first + 1 for start in cold)
-                for first in cold
-            ),
-            default=0,
-        )
-
-
-class SimulatedConnection:
-    """Client side of a connection to the simulated server."""
-
-    def __init__(self, server: SimulatedServer) -> None:
-        self.server = server
-        self.is_open = True
-        self.is_busy = False
-        self.opened_at = float('-inf')
-        self.keep_alive_timeout_seconds = None
-        self.on_idle_lost = None
-
-    @property
-    def is_reusable(self) -> bool:
-        return self.is_open and not self.is_busy
-
-    async def exchange(self, request, body) -> ClientResponse:
-        self.is_busy = True
-        if request.target != '/health':
-            self.server.starts.append(now())
-            await asyncio.sleep(SERVICE_SECONDS)
-        if not self.is_open:
-            raise AnswerMissing
-        self.is_busy = False
-        left_ms = max(self.server.cold_until - now(), 0) * 1000
-        names = HeaderNames()
-        headers = ((names.seal, b'1'), (names.warm_up_ms, b'%d' % left_ms))
-        return ClientResponse(200, headers, WholeBody())
-
-    def end(self) -> None:
-        is_idle = self.is_reusable
-        self.close()
-        if is_idle and self.on_idle_lost is not None:
-            self.on_idle_lost()
-
-    def close(self) -> None:
-        self.is_open = False
-        self.server.connections.discard(self)
-
-
-def now() -> float:
-    return asyncio.get_running_loop().time()
-
-
 async def send_requests(gate: Gate, upstream: Upstream, rate, seconds) -> None:
     """Send requests at a rate through the gate."""
 
@@ -130,7 +54,7 @@
     its new registration isn't known yet.
     """
     random = Random(seed)
-    server = SimulatedServer()
+    server = SimulatedServer(WARM_UP_SECONDS)
     monkeypatch.setattr(upstream_module, 'open_connection', server.open)
     clock = LoopClock()
     warm_up = WarmUp(clock, lambda: TOLERANCE)
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -21,6 +21,8 @@
     ForwardingState,
     OutgoingRequest,
 )
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import RequestKind
 from wagtailline_sidecar.selection import RemoteCost, Selector
 
@@ -63,7 +65,11 @@
     clock = FakeClock()
     selector = Selector(clock, Random(1), 'oslo-a', RemoteCost())
     forwarder = Forwarder(
-        selector, gates, clock, lambda: RetryBudget(clock, retry_ratio)
+        selector,
+        gates,
+        clock,
+        lambda: RetryBudget(clock, retry_ratio),
+        HeaderNames(),
     )
     endpoints = tuple(
         make_endpoint(f'e{number}', address=Address(f'10.0.0.{number}', 80))
@@ -169,7 +175,11 @@
     gates = FakeGates(*[UNKNOWN, UNKNOWN] * 400)
     selector = Selector(clock, Random(1), 'oslo-a', RemoteCost())
     forwarder = Forwarder(
-        selector, gates, clock, lambda: RetryBudget(clock, 0.1, 0)
+        selector,
+        gates,
+        clock,
+        lambda: RetryBudget(clock, 0.1, 0),
+        HeaderNames(),
     )
     endpoints = tuple(make_endpoint(f'e{number}') for number in range(3))
     for _ in range(200):
@@ -196,3 +206,51 @@
     _, forwarding = forward(gates, is_nested=is_nested)
     await forwarding
     assert gates.calls[0].depth == int(is_nested)
+
+
+async def known_limits(*outcomes) -> list[bytes | None]:
+    """Return the limit that each of some requests to one endpoint names."""
+    names = HeaderNames()
+    gates = FakeGates(*outcomes)
+    clock = FakeClock()
+    forwarder = Forwarder(
+        Selector(clock, Random(1), 'oslo-a', RemoteCost()),
+        gates,
+        clock,
+        lambda: RetryBudget(clock, 0),
+        names,
+    )
+    snapshot = make_snapshot(make_endpoint())
+    admitted = Admitted(
+        snapshot, make_route(), None, 'id', 1, clock.now + 1, 0, False
+    )
+    for _ in outcomes:
+        outgoing = OutgoingRequest('GET', '/status/', (), WholeBody())
+        await forwarder.forward(ForwardingState(admitted, 'desk'), outgoing)
+    return [
+        find_header(call.headers, names.known_rate_limit)
+        for call in gates.calls
+    ]
+
+
+def limited(field: bytes, *, is_sealed: bool = True):
+    names = HeaderNames()
+    headers = ((names.rate_limit, field),)
+    if is_sealed:
+        headers = (*headers, (names.seal, b'1'))
+    return Ok(Answer(200, headers, WholeBody(b'fine')))
+
+
+SEALED = Ok(Answer(200, ((HeaderNames().seal, b'1'),), WholeBody(b'fine')))
+
+
+async def test_sender_tells_the_gate_the_limit_that_it_passed_on():
+    """Guards against a restarted gate that has forgotten a limit (LIMIT)."""
+    known = await known_limits(limited(b'2.5'), limited(b'-1'), SEALED, SEALED)
+    assert known == [None, b'2.5', b'2.5', None]
+
+
+async def test_unsealed_response_names_no_limit():
+    """Guards against a limit that the endpoint never named."""
+    unsealed = limited(b'2.5', is_sealed=False)
+    assert await known_limits(unsealed, SEALED) == [None, None]
--- a/packages/wagtailline-sidecar/tests/test_full_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_full_upstream.py
@@ -17,6 +17,7 @@
 from wagtailline_sidecar.answer_link import AnswerLink
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
+from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.warm_up import WarmUp
 
 SLOTS = 8
@@ -94,6 +95,7 @@
             AnswerLink(Uplink(clock), 'vm'),
             clock,
             lambda event: None,
+            HeaderNames(),
         )
 
     async def call(self, *, is_repeatable: bool) -> None:
--- a/packages/wagtailline-sidecar/tests/test_gate_service.py
+++ b/packages/wagtailline-sidecar/tests/test_gate_service.py
@@ -8,6 +8,7 @@
 from wagtailline.uplink import Uplink
 from wagtailline_sidecar.answer_link import AnswerLink
 from wagtailline_sidecar.gate_service import GateService
+from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.rate_limit import RateLimit
 
 REFUSED = Err(Refusal('wait_too_long', 'no'))
@@ -18,7 +19,7 @@
 
     in_progress = 0
     queued = 0
-    rate_limit = RateLimit()
+    rate_limit = RateLimit(FakeClock())
 
     async def admit(self, ticket):
         self.ticket = ticket
@@ -44,7 +45,13 @@
     clock = FakeClock()
     link = AnswerLink(Uplink(clock), 'vm')
     service = GateService(
-        gate, None, ReadyUpstream(), link, clock, lambda event: None
+        gate,
+        None,
+        ReadyUpstream(),
+        link,
+        clock,
+        lambda event: None,
+        HeaderNames(),
     )
     request = CallRequest(
         1, 'host', 'status', '', '', 'GET', '/', (), 1000, depth=depth
