Send nothing more to upstreams that say in a response that they leave

Upstreams that leave say so in every response, but daemons waited for their registration, which may come seconds later or, while the source is away, not at all.

Cause: nothing read the header. A response without a seal or of another instance proves nothing, only the value 1 counts, and an incarnation that was started later takes requests again.

--- a/packages/wagtailline-lab/src/wagtailline_lab/sealed_upstream.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/sealed_upstream.py
@@ -34,6 +34,7 @@
     """Fake endpoint whose behaviour tests change through its attributes.
 
     ``cancelled`` counts requests whose connection closed during execution.
+    ``notices`` are headers that all responses bear.
     """
 
     def __init__(self, instance: str, names: UpstreamHeaders) -> None:
@@ -42,6 +43,7 @@
         self.service_seconds = float(0)
         self.is_shedding = False
         self.body = b'sealed'
+        self.notices: dict[str, str] = {}
         self.received: list[Received] = []
         self.cancelled = 0
         self._names = names
@@ -80,17 +82,22 @@
     ) -> bytes:
         names = self._names
         if received.target == '/health':
-            return _encode(200, {names.instance: self.instance}, b'')
+            return self._encode(200, {names.instance: self.instance})
         expected = received.headers.get(names.expected_instance)
         if expected not in {None, self.instance}:
-            return _encode(421, {names.instance: self.instance}, b'')
+            return self._encode(421, {names.instance: self.instance})
         if self.is_shedding:
-            return _encode(503, {names.not_run: '1'}, b'')
+            return self._encode(503, {names.not_run: '1'})
         self.received.append(received)
         await self._execute(reader)
         request_id = received.headers.get(names.request_id, '')
         headers = {names.request_id: request_id, names.seal: 'seal'}
-        return _encode(200, headers, self.body)
+        return self._encode(200, headers, self.body)
+
+    def _encode(
+        self, status: int, headers: dict[str, str], body: bytes = b''
+    ) -> bytes:
+        return _encode(status, {**headers, **self.notices}, body)
 
     async def _execute(self, reader: asyncio.StreamReader) -> None:
         end = asyncio.get_running_loop().time() + self.service_seconds
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -147,4 +147,5 @@
         core.clock,
         make_budget,
         core.names,
+        core.telemetry.observe,
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -50,6 +50,13 @@
     took_ms: int
 
 
+class EndpointLeaving(NamedTuple):
+    """Event: an endpoint has said in the response to ``request`` it leaves."""
+
+    endpoint: str
+    request: str
+
+
 class OutgoingRequest(NamedTuple):
     """Request as it is sent; a streamed body can't be sent twice."""
 
@@ -93,12 +100,15 @@
         clock: MonotonicClock,
         make_budget: Callable[[], RetryBudget],
         names: HeaderNames,
+        observe: Callable[[NamedTuple], None],
     ) -> None:
         """Set up a forwarder that sends requests with ``call_gate``.
 
         ``make_budget`` creates the budget for the retries of one service.
+        Events are passed to ``observe``.
         """
         self._names = names
+        self._observe = observe
         self._selector = selector
         self._call_gate = call_gate
         self._clock = clock
@@ -221,12 +231,16 @@
             return headers
         return (*headers, (self._names.known_rate_limit, b'%r' % rate))
 
-    def _record_notice(self, endpoint: Endpoint, answer: Answer) -> None:
+    def _record_notice(
+        self, state: ForwardingState, endpoint: Endpoint, answer: Answer
+    ) -> None:
         """Record what a response of an upstream says of it."""
         if find_header(answer.headers, self._names.seal) is None:
             return
         notice = read_notice(answer.headers, self._names, endpoint.identity)
-        self._selector.record_notice(endpoint, notice)
+        if self._selector.record_notice(endpoint, notice):
+            request_id = state.admitted.request_id
+            self._observe(EndpointLeaving(endpoint.identity, request_id))
 
     def _record_outcome(
         self,
@@ -238,7 +252,7 @@
         match outcome:
             case Ok(answer):
                 state.upstream_attempts += 1
-                self._record_notice(endpoint, answer)
+                self._record_notice(state, endpoint, answer)
                 self._selector.record_response(
                     endpoint,
                     state.admitted.route,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -70,10 +70,22 @@
         """Return why new requests are refused, or an empty string."""
         if self._is_data_centre_closed:
             return 'data_centre_closed'
-        if self._endpoint is not None and not self._endpoint.is_ready:
+        if self._is_leaving:
             return 'endpoint_leaving'
         return 'upstream_down' if self.is_down else ''
 
+    @property
+    def _is_leaving(self) -> bool:
+        """Return whether the upstream leaves, by its entry or its response.
+
+        The response says so first, and an entry that still calls the same
+        incarnation ready is older.
+        """
+        if self._endpoint is None:
+            return bool(self._leaving_instance)
+        has_said_so = self._endpoint.identity == self._leaving_instance
+        return has_said_so or not self._endpoint.is_ready
+
     @property
     def identity(self) -> str:
         """Return the identity of the registered incarnation, if any."""
@@ -119,14 +131,15 @@
         if registered is not None and _is_restart(registered, endpoint):
             if registered.identity == endpoint.identity:
                 self._parts.gate.rate_limit.forget()
+            if self._leaving_instance == registered.identity:
+                self._leaving_instance = ''
 
     def _refuse_waiting(self) -> None:
         """Refuse the waiting requests if the upstream gets no more of them.
 
         A request may wait for longer than a leaving upstream may get any.
         """
-        is_leaving = self._endpoint is not None and not self._endpoint.is_ready
-        if is_leaving or self._is_data_centre_closed:
+        if self._is_leaving or self._is_data_centre_closed:
             self._parts.gate.refuse_waiting(self.refusal_reason)
 
     def note_connection_failure(self, failure: ConnectionFailure) -> None:
@@ -160,6 +173,7 @@
         if notice.is_leaving and notice.instance != self._leaving_instance:
             self._leaving_instance = notice.instance
             self._observe(UpstreamLeaving(notice.instance))
+            self._refuse_waiting()
 
     def mark_doubtful(self, reason: str) -> None:
         """Treat the upstream as cold until it responds to a health check."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from wagtailline.ports import MonotonicClock
+from wagtailline_sidecar.leaving_endpoints import LeavingEndpoints
 from wagtailline_sidecar.model import Endpoint, Route, Snapshot
 from wagtailline_sidecar.moving_averages import MovingAverages
 from wagtailline_sidecar.upstream_notices import (
@@ -112,11 +113,13 @@
         self._statistics: dict[str, _EndpointStatistics] = {}
         self._route_seconds = MovingAverages(_SMOOTHING_FACTOR)
         self._route_kilobytes = MovingAverages(_SMOOTHING_FACTOR)
+        self._leaving = LeavingEndpoints(clock)
         self._indexed_snapshot: Snapshot | None = None
         self._index: dict[str, _ServiceEndpoints] = {}
 
     def drop_unlisted(self, snapshot: Snapshot) -> None:
         """Drop the statistics of endpoints that the snapshot does not list."""
+        self._leaving.drop_unlisted(snapshot)
         listed = {endpoint.identity for endpoint in snapshot.endpoints}
         for identity in self._statistics.keys() - listed:
             self._statistics.pop(identity)
@@ -184,14 +187,22 @@
         )
         self._route_seconds.observe(route.name, took_seconds)
 
-    def record_notice(self, endpoint: Endpoint, notice: UpstreamNotice) -> None:
-        """Record what a response says of its endpoint."""
+    def record_notice(self, endpoint: Endpoint, notice: UpstreamNotice) -> bool:
+        """Record what a response says of its endpoint.
+
+        Return whether it is the first one to say that the endpoint leaves,
+        which gets no more requests then.
+        """
         statistics = self._statistics_of(endpoint)
         match notice.limit:
             case RateLimitNamed(rate=rate):
                 statistics.rate_limit = rate
             case RateLimitAbsent():
                 statistics.rate_limit = None
+        is_newly_leaving = notice.is_leaving and self._leaving.add(endpoint)
+        if is_newly_leaving:
+            self._indexed_snapshot = None
+        return is_newly_leaving
 
     def find_rate_limit(self, endpoint: Endpoint) -> float | None:
         """Return the limit that an endpoint named in its last response."""
@@ -225,7 +236,9 @@
         """
         if self._indexed_snapshot is not snapshot:
             self._indexed_snapshot = snapshot
-            self._index = _index_endpoints(snapshot, self._data_centre)
+            self._index = _index_endpoints(
+                snapshot, self._data_centre, self._leaving
+            )
         return self._index.get(service, _NO_ENDPOINTS)
 
     def _find_best(
@@ -325,13 +338,13 @@
 
 
 def _index_endpoints(
-    snapshot: Snapshot, data_centre: str
+    snapshot: Snapshot, data_centre: str, leaving: LeavingEndpoints
 ) -> dict[str, _ServiceEndpoints]:
     """Return the endpoints of each service that may get requests."""
     index: dict[str, _ServiceEndpoints] = {}
     for endpoint in snapshot.endpoints:
         is_closed = endpoint.data_centre in snapshot.closed_data_centres
-        if is_closed or not endpoint.is_ready:
+        if is_closed or not endpoint.is_ready or endpoint in leaving:
             continue
         endpoints = index.setdefault(
             endpoint.service, _ServiceEndpoints([], [])
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -70,6 +70,7 @@
         clock,
         lambda: RetryBudget(clock, retry_ratio),
         HeaderNames(),
+        lambda event: None,
     )
     endpoints = tuple(
         make_endpoint(f'e{number}', address=Address(f'10.0.0.{number}', 80))
@@ -180,6 +181,7 @@
         clock,
         lambda: RetryBudget(clock, 0.1, 0),
         HeaderNames(),
+        lambda event: None,
     )
     endpoints = tuple(make_endpoint(f'e{number}') for number in range(3))
     for _ in range(200):
@@ -219,6 +221,7 @@
         clock,
         lambda: RetryBudget(clock, 0),
         names,
+        lambda event: None,
     )
     snapshot = make_snapshot(make_endpoint())
     admitted = Admitted(
@@ -254,3 +257,38 @@
     """Guards against a limit that the endpoint never named."""
     unsealed = limited(b'2.5', is_sealed=False)
     assert await known_limits(unsealed, SEALED) == [None, None]
+
+
+@pytest.mark.parametrize(('is_sealed', 'calls'), [(False, 2), (True, 1)])
+async def test_answer_that_says_its_endpoint_leaves_is_the_last_one(
+    is_sealed, calls
+):
+    """Guards against requests to an endpoint that says it leaves (DRAIN).
+
+    A response without a seal may be of anyone, and proves nothing.
+    """
+    names = HeaderNames()
+    headers = ((names.leaving, b'1'),)
+    if is_sealed:
+        headers = (*headers, (names.seal, b'1'))
+    outcome = Ok(Answer(200, headers, WholeBody(b'fine')))
+    clock = FakeClock()
+    gates = FakeGates(outcome, outcome)
+    events = []
+    forwarder = Forwarder(
+        Selector(clock, Random(1), 'oslo-a', RemoteCost()),
+        gates,
+        clock,
+        lambda: RetryBudget(clock, 0),
+        names,
+        events.append,
+    )
+    snapshot = make_snapshot(make_endpoint())
+    admitted = Admitted(
+        snapshot, make_route(), None, 'id', 1, clock.now + 1, 0, False
+    )
+    for _ in range(2):
+        outgoing = OutgoingRequest('GET', '/status/', (), WholeBody())
+        await forwarder.forward(ForwardingState(admitted, 'desk'), outgoing)
+    assert len(gates.calls) == calls
+    assert len(events) == 2 - calls
--- a/packages/wagtailline-sidecar/tests/test_local_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_local_upstream.py
@@ -13,6 +13,10 @@
     UpstreamParts,
 )
 from wagtailline_sidecar.upstream import ConnectionFailure, HealthReport
+from wagtailline_sidecar.upstream_notices import (
+    RateLimitAbsent,
+    UpstreamNotice,
+)
 from wagtailline_sidecar.warm_up import WarmUp
 
 ADDRESS = Address('10.0.0.1', 8000)
@@ -199,3 +203,63 @@
     async with asyncio.timeout(1):
         refusal = (await waiting).err_value
     assert refusal.executed == 'no'
+
+
+def leave(harness: Harness, instance: str = 'e1') -> None:
+    notice = UpstreamNotice(instance, RateLimitAbsent(), is_leaving=True)
+    harness.local.note_notice(notice)
+
+
+def test_upstream_that_says_it_leaves_gets_no_more_requests():
+    """Guards against requests at a gate whose upstream leaves (DRAIN).
+
+    Entries from before, or after the same incarnation, may call it ready.
+    """
+    harness = Harness()
+    harness.register(0)
+    leave(harness)
+    assert harness.local.refusal_reason == 'endpoint_leaving'
+    harness.register(0)
+    assert harness.local.refusal_reason == 'endpoint_leaving'
+    harness.local.apply_snapshot(make_snapshot())
+    assert harness.local.refusal_reason == 'endpoint_leaving'
+    harness.register(0)
+    assert harness.local.refusal_reason == 'endpoint_leaving'
+
+
+@pytest.mark.looptime
+async def test_requests_that_wait_for_a_leaving_upstream_are_refused():
+    """Guards against a request that waits beyond a leaving (DRAIN)."""
+    harness = Harness()
+    harness.register(0)
+    waiting = asyncio.ensure_future(
+        harness.gate.admit(Ticket('status', 1, 200, 200))
+    )
+    await asyncio.sleep(0)
+    harness.gate.in_progress = harness.gate.slots
+    queued = asyncio.ensure_future(
+        harness.gate.admit(Ticket('status', 1, 200, 200))
+    )
+    await asyncio.sleep(0)
+    leave(harness)
+    refused = await asyncio.wait_for(queued, 1)
+    assert refused.err_value.reason == 'endpoint_leaving'
+    waiting.cancel()
+
+
+def test_upstream_started_again_takes_requests():
+    """Guards against a gate that stays closed for a new incarnation."""
+    harness = Harness()
+    harness.register(0)
+    leave(harness)
+    restarted = make_endpoint(address=ADDRESS, started_ms=2)
+    harness.local.apply_snapshot(make_snapshot(restarted))
+    assert not harness.local.refusal_reason
+
+
+def test_leaving_of_another_instance_closes_nothing():
+    """Guards against a leaving of the former upstream at an address."""
+    harness = Harness()
+    harness.register(0)
+    leave(harness, 'e0')
+    assert not harness.local.refusal_reason
--- a/packages/wagtailline-sidecar/tests/test_selection.py
+++ b/packages/wagtailline-sidecar/tests/test_selection.py
@@ -13,6 +13,10 @@
     RemoteCost,
     Selector,
 )
+from wagtailline_sidecar.upstream_notices import (
+    RateLimitAbsent,
+    UpstreamNotice,
+)
 
 LOCAL = make_endpoint('near', address=Address('10.0.0.1', 80))
 OTHER_LOCAL = make_endpoint('next', address=Address('10.0.0.2', 80))
@@ -212,3 +216,42 @@
     for endpoint in endpoints[1:]:
         selector.record_failure(endpoint)
     assert choose(selector, make_snapshot(*endpoints)) == 'e0'
+
+
+LEAVING = UpstreamNotice('near', RateLimitAbsent(), is_leaving=True)
+
+
+def test_endpoint_that_says_it_leaves_gets_nothing_more():
+    """Guards against requests to an endpoint that says it leaves (DRAIN).
+
+    Its entry may call it ready long after, in snapshots old and new.
+    """
+    selector = make_selector()
+    assert choose(selector, make_snapshot(LOCAL, REMOTE)) == 'near'
+    assert selector.record_notice(LOCAL, LEAVING)
+    for _ in range(20):
+        snapshot = make_snapshot(LOCAL, REMOTE)
+        selector.drop_unlisted(snapshot)
+        assert choose(selector, snapshot) == 'far'
+    assert choose(selector, make_snapshot(LOCAL)) is None
+    assert not selector.record_notice(LOCAL, LEAVING)
+
+
+def test_new_incarnation_of_a_leaving_endpoint_is_chosen():
+    """Guards against an endpoint that gets nothing after its return."""
+    selector = make_selector()
+    selector.record_notice(LOCAL, LEAVING)
+    restarted = LOCAL._replace(started_ms=2)
+    assert choose(selector, make_snapshot(restarted)) == 'near'
+
+
+def test_load_goes_elsewhere_before_a_limit_is_used_up():
+    """Guards against a limit that senders hear of by refusals only (LIMIT).
+
+    The gate reports a rising delay while its limit is nearly used up.
+    """
+    selector = make_selector()
+    selector.record_response(OTHER_LOCAL, ROUTE, 0.15, 0, True)
+    selector.record_response(LOCAL, ROUTE, 0.15, 0.4, True)
+    snapshot = make_snapshot(LOCAL, OTHER_LOCAL)
+    assert {choose(selector, snapshot) for _ in range(20)} == {'next'}
--- a/tests/wagtailline_platform/test_whole_path.py
+++ b/tests/wagtailline_platform/test_whole_path.py
@@ -100,6 +100,32 @@
     assert not draining_vm.upstream.received
 
 
+async def test_leaving_in_an_answer_is_known_while_the_store_is_away(fleet):
+    """Guards against requests to an endpoint that says it leaves (DRAIN).
+
+    The store calls it ready throughout, and the gate's daemon is restarted.
+    """
+    leaving_vm = fleet.vms[0]
+    await fleet.platform.stop()
+    leaving_vm.upstream.notices = {'Server-Leaving': '1'}
+    for vm in fleet.vms * 4:
+        assert (await send_request(vm, '/status/1'))[0] == 200
+    told = len(leaving_vm.upstream.received)
+    assert 1 <= told <= len(fleet.vms)
+    for vm in fleet.vms * 4:
+        assert (await send_request(vm, '/status/1'))[0] == 200
+    assert len(leaving_vm.upstream.received) == told
+
+
+async def test_limit_in_an_answer_is_kept(fleet):
+    """Guards against more requests than an upstream says it takes (LIMIT)."""
+    limited_vm = fleet.vms[0]
+    limited_vm.upstream.notices = {'Server-Limit': '1'}
+    for vm in fleet.vms * 40:
+        assert (await send_request(vm, '/status/1'))[0] == 200
+    assert 1 <= len(limited_vm.upstream.received) <= 11
+
+
 async def test_closed_data_centre_rejects_requests_as_not_executed(fleet):
     """Guards against new requests in a data centre that is being evacuated."""
     fleet.platform.put('op/evacuate/oslo-a', {})
