Do not start requests whose clients have left meanwhile

Cause: the queue for the daemon's own processor. In one iteration the event loop reads all sockets and then starts the handler of every request it read. With hundreds of requests, an iteration lasts a second or more; the end of a connection is read only after that, and handlers that had been read together with the end of their connection were started before it was looked at.

Now handlers start in turns, a few in each iteration, and never before the sockets were read once more; a client that has left cancels its request at the end of its stream instead of a later callback. The wait is a histogram, wagtailline_request_start_delay_seconds.

test_request_whose_client_left_before_its_turn_is_not_started fails without the turns on both event loops.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -21,6 +21,7 @@
 from wagtailline_sidecar.selection import RemoteCost, Selector
 from wagtailline_sidecar.settings import parse_address
 from wagtailline_sidecar.token_requester import TokenRequester
+from wagtailline_sidecar.turns import Turns
 
 # Fraction of the retry budget of all daemons that they use: the load of daemons
 # is unequal, and each call of a retried request counts as a retry.
@@ -117,6 +118,7 @@
         handler,
         core.report_error,
         limits,
+        Turns(core.telemetry.observe_start_delay),
     )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -6,6 +6,7 @@
 from wagtailline.ports import Address
 from wagtailline_sidecar.model import IngressLimits
 from wagtailline_sidecar.server_connection import Handler, ServerConnection
+from wagtailline_sidecar.turns import Turns
 
 _BACKLOG = 1024
 
@@ -19,11 +20,13 @@
         handler: Handler,
         on_error: Callable[[Exception], None],
         limits: Callable[[], IngressLimits] = IngressLimits,
+        turns: Turns | None = None,
     ) -> None:
         """Set up a listener; ``start`` opens the socket.
 
         ``on_error`` is called with exceptions that the handler raises.
         """
+        self._turns = turns or Turns()
         self._on_error = on_error
         self._address = address
         self._handler = handler
@@ -75,6 +78,7 @@
             self._limits,
             self._connections,
             self._on_error,
+            self._turns,
         )
         connection.is_closing = self._is_draining
         return connection
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -18,6 +18,7 @@
 )
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import IngressLimits
+from wagtailline_sidecar.turns import Turns
 
 __all__ = ('Handler', 'IncomingRequest', 'ServerConnection')
 
@@ -41,12 +42,15 @@
         limits: Callable[[], IngressLimits],
         connections: 'set[ServerConnection]',
         on_error: Callable[[Exception], None],
+        turns: Turns,
     ) -> None:
         """Set up a connection that runs ``handler`` in a task per request.
 
         The connection adds itself to ``connections`` while it is open.
-        ``on_error`` is called with exceptions that the handler raises.
+        ``on_error`` is called with exceptions that the handler raises. The
+        handlers of all connections take ``turns``.
         """
+        self._turns = turns
         self._on_error = on_error
         self._handler = handler
         self._limits = limits
@@ -87,9 +91,16 @@
         self._connections.add(self)
         self._start_timer(self._limits().idle_timeout_seconds)
 
+    def eof_received(self) -> None:
+        """Cancel every request, as the client has left; close."""
+        self._end_requests()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel every request of the connection."""
         self._connections.discard(self)
+        self._end_requests()
+
+    def _end_requests(self) -> None:
         self._is_stopped = True
         self._cancel_timer()
         self._writable.set()
@@ -278,7 +289,14 @@
             self._exchanges.append(exchange)
             if len(self._exchanges) == 1:
                 exchange.allow_writing()
-            exchange.run(self._handler(request, exchange))
+            exchange.run(self._handle(request, exchange))
+
+    async def _handle(
+        self, request: IncomingRequest, exchange: Exchange
+    ) -> None:
+        """Run the handler unless the client leaves before its turn."""
+        await self._turns.wait()
+        await self._handler(request, exchange)
 
     def _refuse(self, status: int) -> None:
         """Send an error response to invalid input, then close."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -86,8 +86,18 @@
             registry=self._registry,
         )
 
+        self._start_delay_seconds = Histogram(
+            'wagtailline_request_start_delay_seconds',
+            'Time that read requests waited for the processor',
+            buckets=_LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
         self._create_refresh_metrics()
 
+    def observe_start_delay(self, seconds: float) -> None:
+        """Count the time that a read request waited for the processor."""
+        self._start_delay_seconds.observe(seconds)
+
     def observe(self, event: NamedTuple) -> None:
         """Log an event and update the metrics for it."""
         if _is_logged(event):
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -1,13 +1,19 @@
 """Tests of the server side of HTTP connections over loopback."""
 
 import asyncio
+import socket
 
 import pytest
+import uvloop
 from _peers import connect, listen
 
 from wagtailline.calls import BodyTruncated
 from wagtailline_sidecar.model import IngressLimits
 
+# The sidecar runs on the second one.
+LOOPS = (asyncio.new_event_loop, uvloop.new_event_loop)
+CLIENTS = 60
+
 
 async def echo(request, exchange):
     body = b''.join([chunk async for chunk in request.body])
@@ -361,3 +367,35 @@
     assert body == b'early'
     assert headers['connection'] == 'close'
     await listener.stop()
+
+
+@pytest.mark.parametrize('make_loop', LOOPS)
+def test_request_whose_client_left_before_its_turn_is_not_started(make_loop):
+    """Guards against requests sent on after their clients had left (GONE).
+
+    While the processor was busy, request and end of the connection had both
+    arrived.
+    """
+    started = []
+
+    async def handle(request, exchange):
+        started.append(request.target)
+        await exchange.respond(200, (), b'')
+
+    async def run() -> None:
+        listener, port = await listen(handle)
+        clients = []
+        for _ in range(CLIENTS):
+            client = socket.create_connection(('127.0.0.1', port))
+            clients.append(client)
+        await asyncio.sleep(0.05)
+        for client in clients:
+            client.sendall(get('/'))
+            client.close()
+        # The loop has not run since, as if the processor had been busy.
+        await asyncio.sleep(0.2)
+        await listener.stop()
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(run())
+    assert not started
