Refuse requests that have waited long for the daemon's processor

Cause: nothing bounded the queue for the processor. Admission now refuses a request that has waited for more than half of its target as daemon_busy, which says that it did not run; that costs much less than forwarding it, so the queue drains and later requests are in time.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -92,6 +92,7 @@
             core.snapshots,
             quota_services.quotas,
             core.names,
+            core.clock,
             core.follow_settings(bounds.find_key_proof_seconds),
             core.follow_settings(bounds.find_denial_seconds),
             stops_at,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/admission.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from wagtailline.calls import Headers, Refusal
+from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import ClientAccount, Route, Snapshot
@@ -17,6 +18,9 @@
 
 # Latency target of requests without an account, as a fraction of their timeout.
 _NO_ACCOUNT_TARGET_FRACTION = 0.5
+# Part of its target that a request may wait for the processor of this daemon.
+# Refusing a request costs much less than forwarding it, so the queue drains.
+_MAX_START_DELAY_FRACTION = 0.5
 _BEARER = b'bearer'
 _MILLISECONDS_PER_SECOND = 1000
 
@@ -44,13 +48,14 @@
 
 
 class Admission:
-    """Check of route, key, age of the snapshot and quota, in this order."""
+    """Check of route, key, age of the snapshot, delay and quota, in order."""
 
     def __init__(
         self,
         snapshots: SnapshotStore,
         quotas: Quotas,
         names: HeaderNames,
+        clock: MonotonicClock,
         max_key_snapshot_age_seconds: Callable[[], float],
         max_denial_snapshot_age_seconds: Callable[[], float],
         stops_at: Callable[[], float] = _never,
@@ -62,8 +67,10 @@
         Routes and keys count as unknown only while it is at most
         ``max_denial_snapshot_age_seconds`` old, since an older one may lack
         recent additions. Requests that may last beyond ``stops_at``, a time of
-        the event loop, are refused: the daemon then stops.
+        the event loop, are refused: the daemon then stops. So are requests that
+        have waited long for the processor of this daemon.
         """
+        self._clock = clock
         self._stops_at = stops_at
         self._max_denial_snapshot_age_seconds = max_denial_snapshot_age_seconds
         self._snapshots = snapshots
@@ -102,6 +109,11 @@
         timeout_seconds = self._timeout_seconds(request, route)
         if request.arrived_at + timeout_seconds > self._stops_at():
             return Err(Refusal('daemon_stopping', 'no'))
+        target_seconds = self._target_seconds(route, account)
+        delay_seconds = self._clock.monotonic() - request.arrived_at
+        if delay_seconds > target_seconds * _MAX_START_DELAY_FRACTION:
+            delay_ms = int(delay_seconds * _MILLISECONDS_PER_SECOND)
+            return Err(Refusal('daemon_busy', 'no', delay_ms))
         if account is not None:
             wait_seconds = await self._quotas.take_token(account)
             if wait_seconds > 0:
@@ -124,8 +136,7 @@
                 request_id.decode('latin-1'),
                 priority,
                 request.arrived_at + timeout_seconds,
-                request.arrived_at
-                + min(self._target_seconds(route, account), timeout_seconds),
+                request.arrived_at + min(target_seconds, timeout_seconds),
                 is_nested=(
                     account is None and bool(snapshot.configuration.accounts)
                 ),
--- a/packages/wagtailline-sidecar/tests/test_admission.py
+++ b/packages/wagtailline-sidecar/tests/test_admission.py
@@ -55,6 +55,7 @@
         snapshots,
         FakeQuotas(wait_seconds),
         HeaderNames(),
+        clock,
         lambda: MAX_KEY_SNAPSHOT_AGE_SECONDS,
         lambda: MAX_DENIAL_AGE_SECONDS,
         lambda: stops_at,
@@ -178,3 +179,24 @@
     assert outcome.is_ok() == is_admitted
     if not is_admitted:
         assert outcome.err_value == Refusal('daemon_stopping', 'no')
+
+
+@pytest.mark.parametrize(
+    ('delay_seconds', 'is_refused'), [(0.1, False), (0.4, True)]
+)
+async def test_request_that_waited_long_for_the_processor_is_refused(
+    delay_seconds, is_refused
+):
+    """Guards against a daemon whose requests all are late when it is busy.
+
+    Refusing some of them costs little and leaves time for the others, whose
+    target is 0.5 s.
+    """
+    admission, clock = make_admission()
+    clock.now += delay_seconds
+    outcome = await admission.admit(request())
+    if is_refused:
+        assert outcome.err_value.reason == 'daemon_busy'
+        assert outcome.err_value.executed == 'no'
+    else:
+        assert outcome.is_ok()
