Decide whether a line is logged before formatting it

A dropped line cost as much processor time as a written one, 66 microseconds each here (68 dropped), since the limit stood behind the formatter; a refused request takes up to nine of them on two daemons.

The event log now asks the output first. The names of events are cached. test_dropped_lines_cost_no_formatting guards it; it can't run on the former code, whose log had no way to ask.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/events.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/events.py
@@ -3,7 +3,8 @@
 import logging
 import re
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import cache
 from typing import Any, NamedTuple, Protocol
 
 from pythonjsonlogger.core import BaseJsonFormatter
@@ -52,12 +53,26 @@
         """Flush buffered text."""
 
 
+def _may_always_write() -> bool:
+    """Return True; the default without a limit of the log's rate."""
+    return True
+
+
 class EventLog:
     """Log of typed events, each of which is named after its class."""
 
-    def __init__(self, logger: logging.Logger) -> None:
-        """Take the logger that events are written to."""
+    def __init__(
+        self,
+        logger: logging.Logger,
+        may_write: Callable[[], bool] = _may_always_write,
+    ) -> None:
+        """Take the logger that events are written to.
+
+        ``may_write`` is called for each event and tells whether it is written
+        or dropped, before any work is spent on it.
+        """
         self._logger = logger
+        self._may_write = may_write
 
     def debug(self, event: NamedTuple) -> None:
         """Log an event that helps to diagnose a fault."""
@@ -76,17 +91,26 @@
         self._write(logging.ERROR, event)
 
     def _write(self, level: int, event: NamedTuple) -> None:
-        if self._logger.isEnabledFor(level):
+        if self._logger.isEnabledFor(level) and self._may_write():
             fields = event._asdict()
             self._logger.log(level, event_name(event), extra=fields)
 
 
 def event_name(event: object) -> str:
     """Return the name of an event, which is its class name in snake case."""
-    return _WORD_START.sub('_', type(event).__name__).lower()
+    return _snake_case(type(event).__name__)
+
+
+@cache
+def _snake_case(name: str) -> str:
+    return _WORD_START.sub('_', name).lower()
 
 
-def open_event_log(level: str, stream: TextStream | None = None) -> EventLog:
+def open_event_log(
+    level: str,
+    stream: TextStream | None = None,
+    may_write: Callable[[], bool] = _may_always_write,
+) -> EventLog:
     """Return the event log, which writes to a stream or standard error."""
     logger = logging.getLogger(_LOGGER_NAME)
     handler = logging.StreamHandler(stream or sys.stderr)
@@ -94,7 +118,7 @@
     logger.handlers = [handler]
     logger.propagate = False
     logger.setLevel(level.upper())
-    return EventLog(logger)
+    return EventLog(logger, may_write)
 
 
 def _quote(field: object) -> str:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
@@ -60,7 +60,8 @@
     output = RateLimitedOutput(
         _STDOUT_DESCRIPTOR, settings.log_lines_per_second
     )
-    telemetry = Telemetry(open_event_log(settings.log_level, output))
+    events = open_event_log(settings.log_level, output, output.admit)
+    telemetry = Telemetry(events)
     clock = BootClock()
     return CoreServices(
         SettingsWatch(path, settings, telemetry.observe),
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/log_output.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/log_output.py
@@ -10,8 +10,9 @@
 class RateLimitedOutput(io.TextIOBase):
     """Text stream to a file descriptor that drops lines instead of blocking.
 
-    A token bucket limits the average rate to ``lines_per_second``. The number
-    of dropped lines is logged with the next line that is written.
+    A token bucket limits the average rate to ``lines_per_second``; ``admit``
+    tells whether the next line is within it, before the line is formatted. The
+    number of dropped lines is logged with the next line that is written.
     """
 
     def __init__(self, descriptor: int, lines_per_second: float) -> None:
@@ -24,11 +25,15 @@
         self._dropped = 0
         self._unwritten = b''
 
-    def write(self, text: str) -> int:
-        """Write one line, or drop it."""
-        if not self._take_token():
+    def admit(self) -> bool:
+        """Return whether the next line may be written; count it if not."""
+        is_admitted = self._take_token()
+        if not is_admitted:
             self._dropped += 1
-            return len(text)
+        return is_admitted
+
+    def write(self, text: str) -> int:
+        """Write one line that was admitted, or drop it if that would block."""
         if self._dropped:
             text = f'event=log_lines_dropped count={self._dropped}\n{text}'
         line = self._unwritten + text.encode()
