--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate.py
@@ -10,18 +10,20 @@
 import heapq
 import itertools
 import math
-from typing import NamedTuple
 
 from result import Err, Ok, Result
 
 from wagtailline.calls import Refusal
 from wagtailline.ports import MonotonicClock
+from wagtailline_sidecar._gate_slots import Slot, Ticket, Waiter
 from wagtailline_sidecar.capacity_belief import CapacityBelief
 from wagtailline_sidecar.moving_averages import MovingAverages
 from wagtailline_sidecar.rank_load import Rank, RankLoad
 from wagtailline_sidecar.rate_limit import RateLimit
 from wagtailline_sidecar.warm_up import WarmUp
 
+__all__ = ('MAX_QUEUED', 'RATE_LIMITED', 'Gate', 'Slot', 'Ticket')
+
 MAX_QUEUED = 256
 # Reason of a refusal: the upstream has named a limit that is used up.
 RATE_LIMITED = 'rate_limited'
@@ -45,67 +47,6 @@
 _MILLISECONDS_PER_SECOND = 1000
 
 
-class Ticket(NamedTuple):
-    """A request for a slot.
-
-    ``deadline`` is the time at which the caller gives up, ``target_time`` the
-    time by which a response is wanted; both are seconds of the monotonic
-    clock. A lower ``priority`` is more urgent. ``workload`` groups requests of
-    similar service time. A nested request was sent by an upstream while it
-    processes another request. ``transfer_seconds`` is the time after which
-    the network link has sent its answer, if the answer were ready now.
-    """
-
-    workload: str
-    priority: int
-    deadline: float
-    target_time: float
-    is_nested: bool = False
-    transfer_seconds: float = 0
-
-    @property
-    def rank(self) -> Rank:
-        """Return the rank in the queue of a request that has just arrived."""
-        return Rank(not self.is_nested, self.priority)
-
-
-class _Waiter(NamedTuple):
-    rank: Rank
-    sequence_number: int
-    ticket: Ticket
-    slot: 'asyncio.Future[Result[Slot, Refusal]]'
-
-
-class Slot:
-    """Permission to run one request at the upstream."""
-
-    def __init__(
-        self, gate: 'Gate', workload: str, rank: Rank, started_at: float
-    ) -> None:
-        """Create a slot that was granted at the time ``started_at``."""
-        self._gate = gate
-        self._workload = workload
-        self._rank = rank
-        self._running = gate.in_progress
-        self._is_held = True
-        self.started_at = started_at
-
-    def report(self, *, is_refused: bool) -> None:
-        """Report whether the upstream refused the request for lack of room."""
-        self._gate.belief.record(self._running, is_refused=is_refused)
-
-    def release(self, *, is_typical: bool = False) -> None:
-        """Release the slot; further calls have no effect.
-
-        The service time counts towards the estimate if ``is_typical`` is set,
-        as it should be after a complete response.
-        """
-        if self._is_held:
-            self._is_held = False
-            self._gate.record_use(self._rank, self.started_at)
-            self._gate.release_slot(self._workload, self.started_at, is_typical)
-
-
 class Gate:
     """Concurrency limit of the local upstream with a priority queue."""
 
@@ -119,7 +60,7 @@
         self._clock = clock
         self._warm_up = warm_up
         self._sequence_numbers = itertools.count()
-        self._queue: list[_Waiter] = []
+        self._queue: list[Waiter] = []
         self._estimates = MovingAverages(_SMOOTHING_FACTOR)
         self._longest: dict[str, float] = {}
         self._load = RankLoad(clock)
@@ -172,7 +113,7 @@
             rank, [waiter for waiter in self._waiting() if waiter.rank <= rank]
         )
 
-    def _predict_wait_behind(self, rank: Rank, ahead: list[_Waiter]) -> float:
+    def _predict_wait_behind(self, rank: Rank, ahead: list[Waiter]) -> float:
         start_wait = self._start_wait_seconds(len(ahead) + 1)
         if self.in_progress < self.slots and not ahead:
             return start_wait
@@ -226,7 +167,7 @@
         )
         heapq.heappush(
             self._queue,
-            _Waiter(ticket.rank, next(self._sequence_numbers), ticket, slot),
+            Waiter(ticket.rank, next(self._sequence_numbers), ticket, slot),
         )
         self.dispatch()
         return await self._wait_for_slot(slot)
@@ -315,7 +256,7 @@
                 return True
         return False
 
-    def _waiting(self) -> list[_Waiter]:
+    def _waiting(self) -> list[Waiter]:
         return [waiter for waiter in self._queue if not waiter.slot.done()]
 
     def _max_wait_seconds(self, ticket: Ticket) -> float:
@@ -334,7 +275,7 @@
         )
         return min(target_wait, deadline_wait)
 
-    def _min_service_seconds(self, waiter: _Waiter) -> float:
+    def _min_service_seconds(self, waiter: Waiter) -> float:
         service_seconds = self.estimate_seconds(waiter.ticket.workload)
         return service_seconds * _MIN_SERVICE_FRACTION
 
