Tell callers the shortest wait of all endpoints that were tried

A refused caller got the Retry-After of the endpoint that was tried last. Next to upstreams that name limits, that may be 10 s at a limit of 0.1 a second, while another endpoint has room within a third of a second.

The refusal now names the shortest wait among the endpoints that refused for lack of room. test_refusal_names_the_shortest_wait fails without it (7,000 and 0 where 300 is expected).

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -88,6 +88,21 @@
         self.gate_refusals = 0
         self.is_sent = False
         self.last_refusal = Refusal('no_endpoint', 'no')
+        self._shortest_wait_ms = 0
+
+    def add_refusal(self, refusal: Refusal) -> Refusal:
+        """Note a refusal and return the one that the caller should get.
+
+        It names the shortest time after which an endpoint that was tried has
+        room again.
+        """
+        if refusal.reason in _BUSY_REASONS:
+            waits_ms = (self._shortest_wait_ms, refusal.retry_after_ms)
+            known_ms = [wait_ms for wait_ms in waits_ms if wait_ms]
+            self._shortest_wait_ms = min(known_ms, default=0)
+            refusal = refusal._replace(retry_after_ms=self._shortest_wait_ms)
+        self.last_refusal = refusal
+        return refusal
 
 
 class Forwarder:
@@ -138,9 +153,9 @@
                     if not self._may_retry(state, outgoing):
                         return outcome
                 case Err(refusal):
-                    state.last_refusal = refusal
+                    refusal = state.add_refusal(refusal)
                     if not self._may_retry_refused(state, outgoing, refusal):
-                        return outcome
+                        return Err(refusal)
 
     async def _attempt(
         self,
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -292,3 +292,16 @@
         await forwarder.forward(ForwardingState(admitted, 'desk'), outgoing)
     assert len(gates.calls) == calls
     assert len(events) == 2 - calls
+
+
+@pytest.mark.parametrize('waits_ms', [(9000, 300, 5000, 7000), (0, 0, 300, 0)])
+async def test_refusal_names_the_shortest_wait(waits_ms):
+    """Guards against callers that stay away while another endpoint is free.
+
+    The endpoint that was tried last may have the lowest limit.
+    """
+    outcomes = [
+        Err(Refusal('rate_limited', 'no', wait_ms)) for wait_ms in waits_ms
+    ]
+    _, forwarding = forward(FakeGates(*outcomes))
+    assert (await forwarding).err_value.retry_after_ms == 300
