--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -210,18 +210,21 @@
     assert gates.calls[0].depth == int(is_nested)
 
 
-async def known_limits(*outcomes) -> list[bytes | None]:
-    """Return the limit that each of some requests to one endpoint names."""
-    names = HeaderNames()
+async def send_each(*outcomes):
+    """Send a request for each outcome of one endpoint.
+
+    Return the calls that reached its gate, and the events.
+    """
     gates = FakeGates(*outcomes)
+    events = []
     clock = FakeClock()
     forwarder = Forwarder(
         Selector(clock, Random(1), 'oslo-a', RemoteCost()),
         gates,
         clock,
         lambda: RetryBudget(clock, 0),
-        names,
-        lambda event: None,
+        HeaderNames(),
+        events.append,
     )
     snapshot = make_snapshot(make_endpoint())
     admitted = Admitted(
@@ -230,10 +233,14 @@
     for _ in outcomes:
         outgoing = OutgoingRequest('GET', '/status/', (), WholeBody())
         await forwarder.forward(ForwardingState(admitted, 'desk'), outgoing)
-    return [
-        find_header(call.headers, names.known_rate_limit)
-        for call in gates.calls
-    ]
+    return gates.calls, events
+
+
+async def known_limits(*outcomes) -> list[bytes | None]:
+    """Return the limit that each of some requests to one endpoint names."""
+    calls, _ = await send_each(*outcomes)
+    name = HeaderNames().known_rate_limit
+    return [find_header(call.headers, name) for call in calls]
 
 
 def limited(field: bytes, *, is_sealed: bool = True):
@@ -272,25 +279,8 @@
     if is_sealed:
         headers = (*headers, (names.seal, b'1'))
     outcome = Ok(Answer(200, headers, WholeBody(b'fine')))
-    clock = FakeClock()
-    gates = FakeGates(outcome, outcome)
-    events = []
-    forwarder = Forwarder(
-        Selector(clock, Random(1), 'oslo-a', RemoteCost()),
-        gates,
-        clock,
-        lambda: RetryBudget(clock, 0),
-        names,
-        events.append,
-    )
-    snapshot = make_snapshot(make_endpoint())
-    admitted = Admitted(
-        snapshot, make_route(), None, 'id', 1, clock.now + 1, 0, False
-    )
-    for _ in range(2):
-        outgoing = OutgoingRequest('GET', '/status/', (), WholeBody())
-        await forwarder.forward(ForwardingState(admitted, 'desk'), outgoing)
-    assert len(gates.calls) == calls
+    sent, events = await send_each(outcome, outcome)
+    assert len(sent) == calls
     assert len(events) == 2 - calls
 
 
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -31,7 +31,14 @@
 
     Return the outcome and the head of the request that the upstream received.
     """
+    outcome, head, _ = await observe_run(status, *header_lines)
+    return outcome, head
+
+
+async def observe_run(status: str, *header_lines: str):
+    """Run a request, and return also what the response says of its upstream."""
     heads = []
+    notices: list[UpstreamNotice] = []
 
     async def script(reader, writer):
         heads.append(await read_head(reader))
@@ -44,9 +51,10 @@
 
     server, address = await serve_script(script)
     upstream = Upstream(address, HeaderNames(), BootClock())
+    upstream.observe_notice = notices.append
     outcome = await upstream.run(REQUEST, WholeBody(), 0.5)
     server.close()
-    return outcome, heads[0].lower()
+    return outcome, heads[0].lower(), notices
 
 
 async def test_instance_and_time_limit_are_forwarded():
@@ -280,23 +288,7 @@
 
 async def notices_of(status: str, *header_lines: str) -> list[UpstreamNotice]:
     """Return what a response says of its upstream."""
-    notices: list[UpstreamNotice] = []
-
-    async def script(reader, writer):
-        await read_head(reader)
-        fields = ''.join(
-            f'{header_line}\r\n'
-            for header_line in (*header_lines, 'Content-Length: 0')
-        )
-        writer.write(f'HTTP/1.1 {status}\r\n{fields}\r\n'.encode())
-        await reader.read()
-
-    server, address = await serve_script(script)
-    upstream = Upstream(address, HeaderNames(), BootClock())
-    upstream.observe_notice = notices.append
-    await upstream.run(REQUEST, WholeBody(), 0.5)
-    server.close()
-    return notices
+    return (await observe_run(status, *header_lines))[2]
 
 
 @pytest.mark.parametrize(
