--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_gate_slots.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_gate_slots.py
@@ -50,6 +50,8 @@
 
 
 class Waiter(NamedTuple):
+    """Request in the queue; those with a lower rank, then older, go first."""
+
     rank: Rank
     sequence_number: int
     ticket: Ticket
