--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -167,7 +167,7 @@
         self._observe(DoubtSettled(self.identity))
         self._parts.gate.dispatch()
 
-    def note_notice(self, notice: UpstreamNotice) -> None:
+    def apply_notice(self, notice: UpstreamNotice) -> None:
         """Apply what the upstream says of itself in a response."""
         self._parts.gate.rate_limit.apply(notice)
         if notice.is_leaving and notice.instance != self._leaving_instance:
--- a/packages/wagtailline-sidecar/tests/test_local_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_local_upstream.py
@@ -207,7 +207,7 @@
 
 def leave(harness: Harness, instance: str = 'e1') -> None:
     notice = UpstreamNotice(instance, RateLimitAbsent(), is_leaving=True)
-    harness.local.note_notice(notice)
+    harness.local.apply_notice(notice)
 
 
 def test_upstream_that_says_it_leaves_gets_no_more_requests():
--- a/packages/wagtailline-sidecar/tests/test_rate_limit.py
+++ b/packages/wagtailline-sidecar/tests/test_rate_limit.py
@@ -91,7 +91,7 @@
         )
         upstream.observe_failure = self.local.note_connection_failure
         upstream.observe_answer = self.local.note_answer
-        upstream.observe_notice = self.local.note_notice
+        upstream.observe_notice = self.local.apply_notice
         self.service = GateService(
             self.gate,
             upstream,
