--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,7 @@
 from mesh import (  # noqa: E402
     APPLY_MS,
     CONTACT_MS,
+    CannotRun,
     Connection,
     Endpoint,
     Mesh,
@@ -66,6 +67,8 @@
     await mesh.start({'alpha': 3, 'beta': 3}, answer, config(7, 'alpha'))
     before = await ask(mesh, '/open/1', False)
     mesh.record.say(f'before: {[ran for ran, _ in before]}')
+    if any(ran != 'alpha' for ran, _ in before):
+        raise CannotRun('the mesh does not serve')
     if is_trouble():
         mesh.store.put('servers/ledger-notes', UNREADABLE)
     await asyncio.sleep(CONTACT_MS / 1000 + 0.5)
--- a/review/standins/mesh.py
+++ b/review/standins/mesh.py
@@ -28,6 +28,8 @@
 QUEUE = 24
 MAX_CONNECTIONS = 120
 WARM_UP_S = 3.0
+BROKEN = 10
+NO_VERDICT = 2
 # An entry goes after three heartbeats of silence.
 EXPIRY_S = 4.5
 KEY = 'k3yoftenantone000001'
@@ -458,6 +460,8 @@
         }
 
     async def start_daemon(self) -> None:
+        if self.mesh.is_stopping:
+            raise CannotRun('the case has ended')
         path = self.mesh.directory / f'{self.name}.json'
         path.write_text(json.dumps(self._settings(), indent=2))
         log = (self.mesh.directory / f'{self.name}.log').open('ab')
@@ -478,6 +482,7 @@
             stderr=log,
         )
         log.close()
+        self.mesh.processes.append(self.process)
 
     def send_signal(self, number: signal.Signals) -> None:
         self.mesh.record.write(f'signal: {number.name} to {self.name}')
@@ -497,6 +502,8 @@
         self.endpoints: list[Endpoint] = []
         self.ports: dict[str, int] = {}
         self.config: dict = {}
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.is_stopping = False
 
     async def start(
         self, services: dict[str, int], handler: Handler, config: dict
@@ -542,13 +549,13 @@
         raise CannotRun(f'{machine.name} is not ready')
 
     async def stop(self) -> None:
-        for machine in self.machines:
-            if (
-                machine.process is not None
-                and machine.process.returncode is None
-            ):
-                machine.process.kill()
-                await machine.process.wait()
+        """End every process that was started."""
+        self.is_stopping = True
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+        for process in self.processes:
+            await process.wait()
 
 
 class CannotRun(Exception):
@@ -723,21 +730,27 @@
 
 
 def run_case(folder: Path, case: Callable[[Mesh], Awaitable[bool]]) -> None:
-    """Play a case; exit with 1 if the rule was broken, 0 if not, else 2."""
+    """Play a case; exit with 10 if the rule was broken, 0 if not, else 2.
+
+    Any other status, as of an exception, is not a verdict for ``run.sh``.
+    """
 
     async def play() -> int:
+        task = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         record = Record(folder)
         with tempfile.TemporaryDirectory(prefix='wagtailline-') as name:
             mesh = Mesh(record, Path(name))
             try:
                 async with asyncio.timeout(110):
                     is_broken = await case(mesh)
-            except Exception as problem:
+            except (Exception, asyncio.CancelledError) as problem:
                 record.say(f'the case could not run: {problem!r}')
-                return 2
+                return NO_VERDICT
             finally:
                 await mesh.stop()
         record.say('the rule was BROKEN' if is_broken else 'the rule held')
-        return int(is_broken)
+        return BROKEN if is_broken else 0
 
     sys.exit(asyncio.run(play()))
