Take the size of an incoming head out of the server connection

IncomingHead now holds these fields. Behaviour is the same: the counts are reset and compared at the same calls of the parser.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -8,13 +8,13 @@
 import httptools
 
 from wagtailline_sidecar._exchange import Exchange, RequestBody
+from wagtailline_sidecar._incoming_head import IncomingHead
 from wagtailline_sidecar._lingering_close import LingeringClose
 from wagtailline_sidecar._request_head import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
     HEAD_TOO_LARGE,
     IncomingRequest,
-    RequestHead,
     check_head,
 )
 from wagtailline_sidecar.http_messages import find_header
@@ -67,13 +67,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
-        self._url = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._head_bytes = 0
-        self._unparsed_bytes = 0
+        self._head = IncomingHead()
         self._held_input = b''
-        self._is_in_head = False
-        self._completed_messages = 0
         self._is_stopped = False
         self._lingering: LingeringClose | None = None
         self._rejects_new_requests = False
@@ -90,7 +85,7 @@
     @property
     def _is_reading(self) -> bool:
         """Return whether a part of a request has been received."""
-        is_partly_parsed = self._is_in_head or self._body is not None
+        is_partly_parsed = self._head.is_open or self._body is not None
         return is_partly_parsed or bool(self._held_input)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -133,10 +128,7 @@
         if self._is_full and self._body is None:
             self._hold(data)
             return
-        bytes_before, completed_before = (
-            self._head_bytes,
-            self._completed_messages,
-        )
+        self._head.begin_input()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -147,13 +139,9 @@
                 self._ignores_input = True
                 return
             self._refuse(BAD_REQUEST)
-        if self._is_in_head and completed_before == self._completed_messages:
-            # The parser buffers an incomplete header field, so its bytes
-            # are counted here to enforce the limit on the head.
-            parsed = self._head_bytes - bytes_before
-            self._unparsed_bytes += max(len(data) - parsed, 0)
-        head_bytes = self._head_bytes + self._unparsed_bytes
-        if self._is_in_head and head_bytes > self._limits().head_bytes:
+        self._head.end_input(len(data))
+        max_bytes = self._limits().head_bytes
+        if self._head.is_open and self._head.size_bytes > max_bytes:
             self._refuse(HEAD_TOO_LARGE)
 
     @property
@@ -209,53 +197,36 @@
         if self._rejects_new_requests:
             # The parser reports this exception as a parser error.
             raise ConnectionAbortedError
-        self._url = b''
-        self._headers = []
-        self._head_bytes = 0
-        self._unparsed_bytes = 0
-        self._is_in_head = True
+        self._head.begin()
         if not self._exchanges:
             self._start_timer(self._limits().head_timeout_seconds)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
-        self._url += url
-        self._count_head_bytes(len(url))
+        self._head.add_target(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; ignore trailers, which follow the body."""
         if self._body is None:
-            self._headers.append((name.lower(), value))
-            self._count_head_bytes(len(name) + len(value))
+            self._head.add_header(name, value)
 
     def on_headers_complete(self) -> None:
         """Queue the request, or refuse it if its head is not acceptable."""
-        self._unparsed_bytes = 0
-        self._is_in_head = False
-        status = check_head(
-            RequestHead(
-                self._parser.get_http_version(),
-                self._url,
-                tuple(self._headers),
-                self._head_bytes,
-            ),
-            self._limits(),
-        )
+        head = self._head.complete(self._parser.get_http_version())
+        status = check_head(head, self._limits())
         if status:
             self._refuse(status)
             return
         self._cancel_timer()
         self._body = RequestBody(self._pause_reading, self._resume_reading)
-        headers = tuple(self._headers)
         request = IncomingRequest(
             self._parser.get_method().decode('latin-1'),
-            self._url.decode('latin-1'),
-            headers,
+            head.target.decode('latin-1'),
+            head.headers,
             self._body,
             asyncio.get_running_loop().time(),
         )
-        self._headers = []
-        if find_header(headers, b'expect') is not None:
+        if find_header(head.headers, b'expect') is not None:
             self._write(_CONTINUE)
         self._queued_requests.append(request)
         self._start_queued_requests()
@@ -270,8 +241,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
-        self._head_bytes = 0
-        self._completed_messages += 1
+        self._head.end_message()
         if self._body is not None:
             self._body.finish()
         self._body = None
@@ -359,10 +329,6 @@
             exchange.allow_writing()
         exchange.run(exchange.respond(status, (), b''))
 
-    def _count_head_bytes(self, count: int) -> None:
-        self._head_bytes += count
-        self._unparsed_bytes = 0
-
     def _write(self, content: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(content)
@@ -387,7 +353,7 @@
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._is_in_head:
+        if self._head.is_open:
             self._refuse(_REQUEST_TIMEOUT)
         else:
             self.close()
