--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -11,9 +11,9 @@
 )
 from wagtailline_sidecar.daemon import Daemon, Readiness
 from wagtailline_sidecar.http_listener import HttpListener
+from wagtailline_sidecar.location import Location
 from wagtailline_sidecar.settings import parse_address
 from wagtailline_sidecar.source_reader import (
-    Location,
     Origins,
     Source,
     SourceReader,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
@@ -26,10 +26,8 @@
 from wagtailline.ports import Address, Channel, Listener
 from wagtailline.streams import StreamTransport
 from wagtailline.uplink import Uplink
-from wagtailline_sidecar.snapshot_exchange import (
-    SNAPSHOT_KINDS,
-    SnapshotExchange,
-)
+from wagtailline_sidecar.snapshot_exchange import SnapshotExchange
+from wagtailline_sidecar.snapshot_messages import SNAPSHOT_KINDS
 
 # A peer in the same region answers within milliseconds.
 DIAL_TIMEOUT_SECONDS = 0.3
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -9,12 +9,10 @@
 import math
 from collections.abc import Callable
 from hashlib import blake2b
-from typing import NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
 
-from wagtailline.codec import Message
 from wagtailline.messages import Hello
 from wagtailline.ports import (
     Address,
@@ -29,7 +27,6 @@
     EncodedConfiguration,
     decode_configuration,
 )
-from wagtailline_sidecar.field_types import Count, Integer
 from wagtailline_sidecar.model import Endpoint, Snapshot
 from wagtailline_sidecar.reading import (
     Reading,
@@ -37,6 +34,13 @@
 from wagtailline_sidecar.snapshot import (
     SnapshotStore,
 )
+from wagtailline_sidecar.snapshot_messages import (
+    PeerReading,
+    PeerUnavailable,
+    ReplyFigures,
+    SnapshotReply,
+    SnapshotRequest,
+)
 
 _MILLISECONDS_PER_SECOND = 1000
 _DIGEST_BYTES = 8
@@ -44,81 +48,9 @@
 _NO_CONFIGURATION = EncodedConfiguration(0, b'')
 
 
-class SnapshotRequest(NamedTuple):
-    """Request for a snapshot; names the version and endpoints already known.
-
-    ``number`` matches a reply to its request. A peer that knows nothing newer
-    replies when it does, or after ``max_wait_ms``.
-    """
-
-    number: Count
-    version: Count
-    endpoints_digest: bytes
-    max_wait_ms: Count = 0
-
-
-class SnapshotReply(NamedTuple):
-    """Snapshot of a peer and the time since it was known to be current.
-
-    ``refresh_age_ms`` is the time since the reading of the source had ended.
-    The reply was sent ``waited_ms`` after its request had arrived.
-    ``configuration`` and ``endpoints`` are empty if the requesting daemon
-    already has them. The configuration is a delta to ``base_version``, or
-    whole if that is 0. A negative ``age_ms`` means that there is no snapshot.
-    The endpoints may be those of a later revision, ``endpoints_revision``.
-    """
-
-    number: Count
-    age_ms: Integer
-    revision: Count
-    base_version: Count
-    configuration: bytes
-    endpoints: bytes
-    endpoints_digest: bytes
-    closed_data_centres: tuple[str, ...]
-    refresh_age_ms: Count = 0
-    waited_ms: Count = 0
-    endpoints_revision: Count = 0
-
-
-SNAPSHOT_KINDS: dict[int, type[Message]] = {
-    84: SnapshotRequest,
-    85: SnapshotReply,
-}
-
 _ENDPOINTS = msgspec.msgpack.Decoder(tuple[Endpoint, ...])
 
 
-class ReplyFigures(NamedTuple):
-    """Wait for news at the peer, age of its snapshot, and size of the reply."""
-
-    waited_ms: int
-    age_ms: int
-    received_bytes: int
-
-
-NO_REPLY = ReplyFigures(0, 0, 0)
-
-
-class PeerReading(NamedTuple):
-    """Reading received from a peer.
-
-    ``current_at`` is the time since boot at which it was known to be current,
-    ``refreshed_at`` that at which the reading of the source had ended.
-    """
-
-    reading: Reading
-    current_at: float
-    refreshed_at: float
-    reply: ReplyFigures = NO_REPLY
-
-
-class PeerUnavailable(NamedTuple):
-    """A peer supplied no snapshot; ``reason`` says why."""
-
-    reason: str
-
-
 class SnapshotExchange:
     """Client and server for snapshot requests between daemons."""
 
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -0,0 +1,163 @@
+"""Daemons of one data centre that refresh their snapshots."""
+
+import asyncio
+from random import Random
+
+from _fixtures import make_configuration, make_endpoint
+from result import Err, Ok, Result
+
+from wagtailline.placement import rank_nodes
+from wagtailline.ports import Address, SourceUnavailable
+from wagtailline_sidecar.location import Location
+from wagtailline_sidecar.reading import Reading
+from wagtailline_sidecar.refresh_periods import plan_refreshes
+from wagtailline_sidecar.snapshot import SnapshotStore
+from wagtailline_sidecar.snapshot_messages import PeerReading, PeerUnavailable
+from wagtailline_sidecar.source_reader import Origins, SourceReader
+
+HOSTS = tuple(
+    rank_nodes('oslo-a', [f'10.0.0.{number}' for number in range(1, 4)])
+)
+# Maximum time from a publication to its effect on every daemon.
+MAX_PROPAGATION_SECONDS = 2.0
+# The users allow large deployments more time.
+MAX_PROPAGATION_LARGE_SECONDS = 2.5
+PERIODS = plan_refreshes(MAX_PROPAGATION_SECONDS)
+
+
+class LoopClock:
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    boot = monotonic
+
+
+class Fleet:
+    """Daemons of one data centre that share a source."""
+
+    def __init__(
+        self,
+        hosts: tuple[str, ...] = HOSTS,
+        propagation_seconds: float = MAX_PROPAGATION_SECONDS,
+    ) -> None:
+        self.periods = plan_refreshes(propagation_seconds)
+        self.clock = LoopClock()
+        self.hosts = hosts
+        self.revision = 1
+        self.reads = 0
+        self.reading_hosts: set[str] = set()
+        self.read_seconds = 0.004
+        self.rejected_hosts: set[str] = set()
+        self.killed_hosts: set[str] = set()
+        self.failing_sources: set[str] = set()
+        self.failing_peers: set[str] = set()
+        self.events: list = []
+        self.stores: dict[str, SnapshotStore] = {}
+        self.readers: dict[str, SourceReader] = {}
+        for host in hosts:
+            self.add(host)
+
+    def add(self, host: str) -> None:
+        snapshots = SnapshotStore(self.clock, self.events.append)
+        self.stores[host] = snapshots
+        self.readers[host] = SourceReader(
+            Origins(_Source(self, host), self.fetch),
+            snapshots,
+            Location(host, 'oslo-a'),
+            self.clock,
+            Random(host),
+            self.events.append,
+            lambda: self.periods,
+        )
+
+    async def fetch(self, host: str, max_wait_seconds: float) -> Result:
+        store = self.stores[host]
+        if host in self.failing_peers:
+            raise OverflowError('int too big to convert')
+        if host in self.killed_hosts:
+            await asyncio.sleep(max_wait_seconds + self.periods.reply_timeout)
+            return Err(PeerUnavailable('TimeoutError'))
+        confirmed_at = store.confirmed_at
+        waited_until = self.clock.monotonic() + max_wait_seconds
+        await asyncio.sleep(0.001)
+        await self.wait_until(
+            lambda: store.confirmed_at != confirmed_at, waited_until
+        )
+        snapshot = store.current
+        if snapshot is None:
+            return Err(PeerUnavailable('no snapshot'))
+        reading = Reading(
+            snapshot.revision,
+            snapshot.configuration,
+            snapshot.endpoints,
+            snapshot.closed_data_centres,
+        )
+        return Ok(PeerReading(reading, store.confirmed_at, store.refreshed_at))
+
+    async def wait_until(self, is_true, latest: float) -> None:
+        while not is_true() and self.clock.monotonic() < latest:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+    async def start(self) -> None:
+        for reader in self.readers.values():
+            await reader.start()
+
+    async def kill(self, host: str) -> None:
+        self.killed_hosts.add(host)
+        await self.readers[host].stop()
+
+    def publish(self) -> None:
+        self.revision += 1
+
+    def lowest_revision(self) -> int:
+        return min(
+            snapshots.current.revision
+            for host, snapshots in self.stores.items()
+            if host not in self.killed_hosts
+        )
+
+    def greatest_age(self) -> float:
+        return max(
+            snapshots.age_seconds
+            for host, snapshots in self.stores.items()
+            if host not in self.killed_hosts
+        )
+
+
+class _Source:
+    def __init__(self, fleet: Fleet, host: str) -> None:
+        self.fleet = fleet
+        self.host = host
+
+    async def read(self, wait_seconds):
+        fleet = self.fleet
+        fleet.reads += 1
+        fleet.reading_hosts.add(self.host)
+        if self.host in fleet.failing_sources:
+            raise RecursionError('maximum recursion depth exceeded')
+        if self.host in fleet.rejected_hosts:
+            await asyncio.sleep(fleet.read_seconds)
+            return Err(SourceUnavailable('status 503'))
+        revision = fleet.revision
+        waited_until = fleet.clock.monotonic() + wait_seconds
+        await fleet.wait_until(lambda: fleet.revision != revision, waited_until)
+        await asyncio.sleep(fleet.read_seconds)
+        endpoints = tuple(
+            make_endpoint(host, address=Address(host, 80))
+            for host in fleet.hosts
+        )
+        return Ok(
+            Reading(
+                fleet.revision,
+                make_configuration(version=fleet.revision),
+                endpoints,
+                frozenset(),
+            )
+        )
+
+
+async def make_settled_fleet() -> Fleet:
+    fleet = Fleet()
+    await fleet.start()
+    await asyncio.sleep(3)
+    return fleet
--- a/packages/wagtailline-sidecar/tests/test_message_bounds.py
+++ b/packages/wagtailline-sidecar/tests/test_message_bounds.py
@@ -19,7 +19,7 @@
     TokenReply,
     TokenRequest,
 )
-from wagtailline_sidecar.snapshot_exchange import (
+from wagtailline_sidecar.snapshot_messages import (
     SNAPSHOT_KINDS,
     SnapshotReply,
     SnapshotRequest,
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -23,10 +23,10 @@
     SnapshotStore,
 )
 from wagtailline_sidecar.snapshot_exchange import (
-    SNAPSHOT_KINDS,
     SnapshotExchange,
     digest_endpoints,
 )
+from wagtailline_sidecar.snapshot_messages import SNAPSHOT_KINDS
 
 HELLO = Hello(1, 'vm', 'host', 'oslo-a', 1, PURPOSE_CONTROL)
 
