Split what is known of endpoints from the selection among them

The fields of the statistics were changed from four methods of the selector, and the filter for endpoints that are neither tried nor held off stood there twice.

EndpointStatistics (endpoint_statistics.py) now owns the hold-off, the reported delay and its decay; EndpointIndex (endpoint_index.py) owns the index and when it is made again; the filter stands once.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/selection.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 
 from wagtailline.ports import MonotonicClock
+from wagtailline_sidecar.endpoint_index import EndpointIndex, ServiceEndpoints
+from wagtailline_sidecar.endpoint_statistics import EndpointStatistics
 from wagtailline_sidecar.leaving_endpoints import LeavingEndpoints
 from wagtailline_sidecar.model import Endpoint, Route, Snapshot
 from wagtailline_sidecar.moving_averages import MovingAverages
@@ -15,16 +17,8 @@
     UpstreamNotice,
 )
 
-# An endpoint is not selected for this time after a failure to reach it. Each
-# further failure doubles the time, up to the maximum.
-HOLD_OFF_SECONDS = 0.25
-MAX_HOLD_OFF_SECONDS = 2.0
-# Queueing delays reported by gates decay with this half-life.
-REPORT_HALF_LIFE_SECONDS = 0.5
-# Weight of a new observation in the moving averages. The weight for the latency
-# of an endpoint is lower, since service times of one route vary widely.
+# Weight of a new observation in the averages of a route.
 _SMOOTHING_FACTOR = 0.15
-_LATENCY_SMOOTHING_FACTOR = 0.05
 # Size of the heads of a request and its response between two daemons.
 _OVERHEAD_KILOBYTES = 0.6
 # Assumed until a route has responses to average.
@@ -53,13 +47,6 @@
     misses_per_kilobyte: float = 0.05
 
 
-class _ServiceEndpoints(NamedTuple):
-    """Endpoints of a service in this data centre and in the others."""
-
-    local: list[Endpoint]
-    remote: list[Endpoint]
-
-
 class _Request(NamedTuple):
     """What a choice depends on; ``now`` is the time of the choice."""
 
@@ -74,27 +61,6 @@
     endpoint: Endpoint
 
 
-_NO_ENDPOINTS = _ServiceEndpoints([], [])
-
-
-class _EndpointStatistics:
-    """Statistics of this daemon about one endpoint.
-
-    ``latency_ratio`` is the latency relative to the average of each route.
-    ``success_rate`` is between 0 and 1.
-    """
-
-    def __init__(self) -> None:
-        self.outstanding = 0
-        self.latency_ratio = 1.0
-        self.success_rate = 1.0
-        self.reported_wait_seconds = float(0)
-        self.reported_at = float('-inf')
-        self.failures = 0
-        self.held_off_until = float('-inf')
-        self.rate_limit: float | None = None
-
-
 class Selector:
     """Selector of the endpoint that is least likely to miss the target."""
 
@@ -110,12 +76,11 @@
         self._random = random
         self._data_centre = data_centre
         self._remote_cost = remote_cost
-        self._statistics: dict[str, _EndpointStatistics] = {}
+        self._statistics: dict[str, EndpointStatistics] = {}
         self._route_seconds = MovingAverages(_SMOOTHING_FACTOR)
         self._route_kilobytes = MovingAverages(_SMOOTHING_FACTOR)
         self._leaving = LeavingEndpoints(clock)
-        self._indexed_snapshot: Snapshot | None = None
-        self._index: dict[str, _ServiceEndpoints] = {}
+        self._index = EndpointIndex(data_centre, self._leaving)
 
     def drop_unlisted(self, snapshot: Snapshot) -> None:
         """Drop the statistics of endpoints that the snapshot does not list."""
@@ -142,7 +107,7 @@
             max(target_seconds, _MIN_TARGET_SECONDS),
             self._clock.monotonic(),
         )
-        endpoints = self._find_endpoints(snapshot, service)
+        endpoints = self._index.find(snapshot, service)
         best = self._find_best(endpoints.local, request)
         if best is None or best.cost > self._traffic_cost(route):
             best = _select_better(
@@ -171,19 +136,13 @@
     ) -> None:
         """Record a response and the queueing delay that its gate reports."""
         statistics = self._statistics_of(endpoint)
-        statistics.failures = 0
-        statistics.held_off_until = float('-inf')
-        statistics.reported_wait_seconds = wait_seconds
-        statistics.reported_at = self._clock.monotonic()
-        statistics.success_rate += _SMOOTHING_FACTOR * (
-            float(is_success) - statistics.success_rate
-        )
+        statistics.record_response(is_success)
+        statistics.record_wait(wait_seconds, self._clock.monotonic())
         if not is_success:
             return
         average_seconds = self._route_seconds.find(route.name, took_seconds)
-        relative_latency = took_seconds / max(average_seconds, 0.001)
-        statistics.latency_ratio += _LATENCY_SMOOTHING_FACTOR * (
-            min(relative_latency, 5) - statistics.latency_ratio
+        statistics.record_latency(
+            took_seconds / max(average_seconds, _MIN_EXPECTED_SECONDS)
         )
         self._route_seconds.observe(route.name, took_seconds)
 
@@ -201,7 +160,7 @@
                 statistics.rate_limit = None
         is_newly_leaving = notice.is_leaving and self._leaving.add(endpoint)
         if is_newly_leaving:
-            self._indexed_snapshot = None
+            self._index.reset()
         return is_newly_leaving
 
     def find_rate_limit(self, endpoint: Endpoint) -> float | None:
@@ -215,31 +174,12 @@
     def record_wait(self, endpoint: Endpoint, wait_seconds: float) -> None:
         """Record the queueing delay at a gate that refused a request."""
         statistics = self._statistics_of(endpoint)
-        statistics.reported_wait_seconds = wait_seconds
-        statistics.reported_at = self._clock.monotonic()
+        statistics.record_wait(wait_seconds, self._clock.monotonic())
 
     def record_failure(self, endpoint: Endpoint) -> None:
         """Hold off an endpoint that could not be reached."""
         statistics = self._statistics_of(endpoint)
-        hold_off_seconds = math.ldexp(HOLD_OFF_SECONDS, statistics.failures)
-        statistics.failures = min(statistics.failures + 1, 8)
-        statistics.held_off_until = self._clock.monotonic() + min(
-            hold_off_seconds, MAX_HOLD_OFF_SECONDS
-        )
-
-    def _find_endpoints(
-        self, snapshot: Snapshot, service: str
-    ) -> '_ServiceEndpoints':
-        """Return the endpoints of a service that may get requests.
-
-        They are indexed once a snapshot.
-        """
-        if self._indexed_snapshot is not snapshot:
-            self._indexed_snapshot = snapshot
-            self._index = _index_endpoints(
-                snapshot, self._data_centre, self._leaving
-            )
-        return self._index.get(service, _NO_ENDPOINTS)
+        statistics.record_failure(self._clock.monotonic())
 
     def _find_best(
         self, endpoints: list[Endpoint], request: '_Request'
@@ -249,32 +189,33 @@
         Of many endpoints a random sample is compared, which costs no more in
         a large fleet and keeps daemons from all choosing the same one.
         """
-        reachable = [
-            endpoint
-            for endpoint in self._sample(endpoints)
-            if endpoint.identity not in request.tried
-            and self._statistics_of(endpoint).held_off_until <= request.now
-        ]
+        reachable = self._select_reachable(self._sample(endpoints), request)
         if not reachable and len(endpoints) > MAX_CANDIDATES:
-            reachable = [
-                endpoint
-                for endpoint in endpoints
-                if endpoint.identity not in request.tried
-                and self._statistics_of(endpoint).held_off_until <= request.now
-            ]
+            reachable = self._select_reachable(endpoints, request)
         choices = [
             _Choice(self._cost(endpoint, request), endpoint)
             for endpoint in reachable
         ]
         return min(choices, key=lambda choice: choice.cost, default=None)
 
+    def _select_reachable(
+        self, endpoints: list[Endpoint], request: '_Request'
+    ) -> list[Endpoint]:
+        """Return the endpoints that are neither tried nor held off."""
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.identity not in request.tried
+            and self._statistics_of(endpoint).held_off_until <= request.now
+        ]
+
     def _sample(self, endpoints: list[Endpoint]) -> list[Endpoint]:
         if len(endpoints) <= MAX_CANDIDATES:
             return endpoints
         return self._random.sample(endpoints, MAX_CANDIDATES)
 
     def _find_first_released(
-        self, endpoints: '_ServiceEndpoints', tried: Set[str]
+        self, endpoints: ServiceEndpoints, tried: Set[str]
     ) -> Endpoint | None:
         """Return the endpoint whose hold-off ends first, or None."""
         return min(
@@ -318,10 +259,7 @@
             route.name, _INITIAL_SERVICE_SECONDS
         )
         service_seconds *= statistics.latency_ratio
-        age_seconds = now - statistics.reported_at
-        expected_wait_seconds = statistics.reported_wait_seconds * math.pow(
-            0.5, age_seconds / REPORT_HALF_LIFE_SECONDS
-        )
+        expected_wait_seconds = statistics.find_wait(now)
         expected_wait_seconds += (
             service_seconds * statistics.outstanding / max(endpoint.slots, 1)
         )
@@ -329,31 +267,14 @@
             expected_wait_seconds + service_seconds, _MIN_EXPECTED_SECONDS
         )
 
-    def _statistics_of(self, endpoint: Endpoint) -> _EndpointStatistics:
+    def _statistics_of(self, endpoint: Endpoint) -> EndpointStatistics:
         statistics = self._statistics.get(endpoint.identity)
         if statistics is None:
-            statistics = _EndpointStatistics()
+            statistics = EndpointStatistics()
             self._statistics[endpoint.identity] = statistics
         return statistics
 
 
-def _index_endpoints(
-    snapshot: Snapshot, data_centre: str, leaving: LeavingEndpoints
-) -> dict[str, _ServiceEndpoints]:
-    """Return the endpoints of each service that may get requests."""
-    index: dict[str, _ServiceEndpoints] = {}
-    for endpoint in snapshot.endpoints:
-        is_closed = endpoint.data_centre in snapshot.closed_data_centres
-        if is_closed or not endpoint.is_ready or endpoint in leaving:
-            continue
-        endpoints = index.setdefault(
-            endpoint.service, _ServiceEndpoints([], [])
-        )
-        is_local = endpoint.data_centre == data_centre
-        (endpoints.local if is_local else endpoints.remote).append(endpoint)
-    return index
-
-
 def _select_better(
     first: _Choice | None, second: _Choice | None
 ) -> _Choice | None:
--- a/packages/wagtailline-sidecar/tests/test_selection.py
+++ b/packages/wagtailline-sidecar/tests/test_selection.py
@@ -7,12 +7,8 @@
 from _fixtures import FakeClock, make_endpoint, make_route, make_snapshot
 
 from wagtailline.ports import Address
-from wagtailline_sidecar.selection import (
-    MAX_CANDIDATES,
-    MAX_HOLD_OFF_SECONDS,
-    RemoteCost,
-    Selector,
-)
+from wagtailline_sidecar.endpoint_statistics import MAX_HOLD_OFF_SECONDS
+from wagtailline_sidecar.selection import MAX_CANDIDATES, RemoteCost, Selector
 from wagtailline_sidecar.upstream_notices import (
     RateLimitAbsent,
     UpstreamNotice,
