Wait for the signals to stop in one place

The entry points of wagtaild and of the sidecar each had the same handler that keeps the first of SIGTERM and SIGINT and ignores the next ones.

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/main.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/main.py
@@ -1,16 +1,15 @@
 """Entry point of wagtaild."""
 
 import argparse
-import asyncio
 import gc
 import json
-import signal
 import sys
 from pathlib import Path
 
 import uvloop
 from result import Err, Ok
 
+from wagtailline.stop_signals import follow_stop_signals
 from wagtailline_daemon.composition import build_daemon
 from wagtailline_daemon.settings import (
     DaemonSettings,
@@ -46,20 +45,9 @@
     # collection, and collecting less often, reduces the latency of calls.
     gc.freeze()
     gc.set_threshold(*_GC_THRESHOLDS)
-    received_signal: asyncio.Future[str] = (
-        asyncio.get_running_loop().create_future()
-    )
-    for stop_signal in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(
-            stop_signal, _record_signal, received_signal, stop_signal.name
-        )
+    stop_signal = follow_stop_signals()
     await daemon.start()
-    await daemon.stop(await received_signal)
-
-
-def _record_signal(received_signal: 'asyncio.Future[str]', name: str) -> None:
-    if not received_signal.done():
-        received_signal.set_result(name)
+    await daemon.stop(await stop_signal)
 
 
 def _parse_arguments() -> argparse.Namespace:
