Send nothing to an upstream whose registration has ended

Cause: the gate asked for the state of the upstream, not of the instance that a request is for. Change: requests for an instance whose registration was seen to end are refused as not run, the waiting ones at once; those for an instance that this daemon does not know yet are not.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/gate_service.py
@@ -96,7 +96,7 @@
             self._gate.rate_limit.adopt(
                 request.instance, parse_rate_limit(known_limit)
             )
-        reason = self._local.refusal_reason
+        reason = self._local.find_refusal_reason(request.instance)
         if reason:
             refusal = Refusal(reason, 'no', _UNAVAILABLE_RETRY_MS)
             self._emit_event(request, refusal, arrived_at, arrived_at)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/local_upstream.py
@@ -68,12 +68,15 @@
         self._leaving_instance = ''
         self.is_down = False
 
-    @property
-    def refusal_reason(self) -> str:
-        """Return why new requests are refused, or an empty string."""
+    def find_refusal_reason(self, instance: str) -> str:
+        """Return why requests for an instance are refused, or nothing.
+
+        Senders choose an instance whose registration has ended as long as
+        their snapshots are older than that of this daemon.
+        """
         if self._is_data_centre_closed:
             return 'data_centre_closed'
-        if self._is_leaving:
+        if self._is_leaving or self._has_ended(instance):
             return 'endpoint_leaving'
         return 'upstream_down' if self.is_down else ''
 
@@ -89,6 +92,14 @@
         has_said_so = self._endpoint.identity == self._leaving_instance
         return has_said_so or not self._endpoint.is_ready
 
+    def _has_ended(self, instance: str) -> bool:
+        """Return whether the registration of an instance was seen to end."""
+        return (
+            self._endpoint is None
+            and self._registered is not None
+            and self._registered.identity == instance
+        )
+
     @property
     def identity(self) -> str:
         """Return the identity of the registered incarnation, if any."""
@@ -141,8 +152,14 @@
 
         A request may wait for longer than a leaving upstream may get any.
         """
-        if self._is_leaving or self._is_data_centre_closed:
-            self._parts.gate.refuse_waiting(self.refusal_reason)
+        instance = '' if self._registered is None else self._registered.identity
+        if (
+            self._is_data_centre_closed
+            or self._is_leaving
+            or self._has_ended(instance)
+        ):
+            reason = self.find_refusal_reason(instance)
+            self._parts.gate.refuse_waiting(reason)
 
     def note_connection_failure(self, failure: ConnectionFailure) -> None:
         """Mark the upstream as doubtful after a connection failure.
--- a/packages/wagtailline-sidecar/tests/test_answer_link.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_link.py
@@ -28,7 +28,8 @@
 
 
 class ReadyUpstream:
-    refusal_reason = ''
+    def find_refusal_reason(self, instance: str) -> str:
+        return ''
 
 
 class Vm:
--- a/packages/wagtailline-sidecar/tests/test_full_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_full_upstream.py
@@ -73,7 +73,8 @@
 
 
 class ReadyUpstream:
-    refusal_reason = ''
+    def find_refusal_reason(self, instance: str) -> str:
+        return ''
 
 
 class Vm:
--- a/packages/wagtailline-sidecar/tests/test_gate_service.py
+++ b/packages/wagtailline-sidecar/tests/test_gate_service.py
@@ -32,7 +32,8 @@
 class ReadyUpstream:
     """State of a local upstream that accepts requests."""
 
-    refusal_reason = ''
+    def find_refusal_reason(self, instance: str) -> str:
+        return ''
 
 
 @pytest.mark.parametrize('depth', [0, 1])
--- a/packages/wagtailline-sidecar/tests/test_limited_service.py
+++ b/packages/wagtailline-sidecar/tests/test_limited_service.py
@@ -39,7 +39,8 @@
 class LimitedUpstream:
     """Upstream that names a limit in its responses, with its gate."""
 
-    refusal_reason = ''
+    def find_refusal_reason(self, instance: str) -> str:
+        return ''
 
     def __init__(self, limit: float | None, random: Random) -> None:
         clock = LoopClock()
--- a/packages/wagtailline-sidecar/tests/test_local_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_local_upstream.py
@@ -176,7 +176,7 @@
     assert harness.warm_up.is_doubtful
 
 
-@pytest.mark.parametrize('cause', ['leaving', 'closed'])
+@pytest.mark.parametrize('cause', ['leaving', 'unregistered', 'closed'])
 async def test_waiting_requests_do_not_reach_an_upstream_that_leaves(cause):
     """Guards against a request that starts after the drain time has passed.
 
@@ -197,6 +197,8 @@
     if cause == 'leaving':
         endpoint = endpoint._replace(is_ready=False)
         harness.local.apply_snapshot(make_snapshot(endpoint))
+    elif cause == 'unregistered':
+        harness.local.apply_snapshot(make_snapshot())
     else:
         closed = frozenset({'oslo-a'})
         harness.local.apply_snapshot(make_snapshot(endpoint, closed=closed))
@@ -218,13 +220,28 @@
     harness = Harness()
     harness.register(0)
     leave(harness)
-    assert harness.local.refusal_reason == 'endpoint_leaving'
+    assert harness.local.find_refusal_reason('e1') == 'endpoint_leaving'
     harness.register(0)
-    assert harness.local.refusal_reason == 'endpoint_leaving'
+    assert harness.local.find_refusal_reason('e1') == 'endpoint_leaving'
     harness.local.apply_snapshot(make_snapshot())
-    assert harness.local.refusal_reason == 'endpoint_leaving'
+    assert harness.local.find_refusal_reason('e1') == 'endpoint_leaving'
     harness.register(0)
-    assert harness.local.refusal_reason == 'endpoint_leaving'
+    assert harness.local.find_refusal_reason('e1') == 'endpoint_leaving'
+
+
+def test_upstream_without_registration_gets_no_more_requests():
+    """Guards against late requests of senders with older snapshots (DRAIN).
+
+    The next incarnation at the address may be known to the senders first.
+    """
+    harness = Harness()
+    assert not harness.local.find_refusal_reason('e1')
+    harness.register(0)
+    harness.local.apply_snapshot(make_snapshot())
+    assert harness.local.find_refusal_reason('e1') == 'endpoint_leaving'
+    assert not harness.local.find_refusal_reason('e2')
+    harness.register(0)
+    assert not harness.local.find_refusal_reason('e1')
 
 
 @pytest.mark.looptime
@@ -254,7 +271,7 @@
     leave(harness)
     restarted = make_endpoint(address=ADDRESS, started_ms=2)
     harness.local.apply_snapshot(make_snapshot(restarted))
-    assert not harness.local.refusal_reason
+    assert not harness.local.find_refusal_reason('e1')
 
 
 def test_leaving_of_another_instance_closes_nothing():
@@ -262,4 +279,4 @@
     harness = Harness()
     harness.register(0)
     leave(harness, 'e0')
-    assert not harness.local.refusal_reason
+    assert not harness.local.find_refusal_reason('e1')
