Keep the retry budget in every window, wherever it begins

Cause: the window was cut at whole seconds, so what was spent late in a second was forgotten up to a second too early and could be spent again within ten seconds. Evidence: the test, which lets many calls fail at once, counted 190 to 199 retries in a window in which 100 are allowed, in all five phases; 99 or 100 now. Change: sums over half seconds; retries are kept for the window, the longest time until they arrive and the rest of their half second.

--- a/packages/wagtailline/src/wagtailline/routing/_budget.py
+++ b/packages/wagtailline/src/wagtailline/routing/_budget.py
@@ -1,6 +1,8 @@
 """Retry budget over a sliding time window."""
 
+import math
 from collections import deque
+from typing import NamedTuple
 
 from wagtailline.ports import MonotonicClock
 
@@ -8,13 +10,24 @@
 RETRY_RATIO = 0.1
 MIN_RETRIES_PER_SECOND = 1
 MAX_ATTEMPTS = 3
+# A retry arrives at its upstream within this time, after queues and links.
+_ARRIVAL_SECONDS = 1.0
+_BUCKET_SECONDS = 0.5
+
+
+class BudgetUse(NamedTuple):
+    """Retries of the last window: how many were spent and may be in total."""
+
+    spent: float
+    allowed: float
 
 
 class RetryBudget:
     """Limits the retries of one service to a share of its recent calls.
 
     Within the window it allows ``ratio`` retries for each call plus a constant
-    rate of retries, which serves services with little traffic.
+    rate of retries, which serves services with little traffic. That holds for
+    any window, wherever it begins.
     """
 
     def __init__(
@@ -25,38 +38,62 @@
         window_seconds: float = WINDOW_SECONDS,
     ) -> None:
         """Create a budget with no recorded calls."""
-        self._window_seconds = window_seconds
         self._clock = clock
         self._ratio = ratio
         self._min_retries = min_retries_per_second * window_seconds
-        # [second, calls, retries] of each second in the window, oldest first.
-        self._buckets: deque[list[int]] = deque()
-        self._calls = 0
-        self._retries = 0
+        self._calls = _SlidingSum(window_seconds - _BUCKET_SECONDS)
+        self._retries = _SlidingSum(window_seconds + _ARRIVAL_SECONDS)
 
     def record_call(self) -> None:
         """Count the first attempt of a call; retries are not counted here."""
-        self._current_bucket()[1] += 1
-        self._calls += 1
+        self._calls.add(self._clock.monotonic(), 1)
+
+    def use(self) -> BudgetUse:
+        """Return the use of the budget in the window that ends now."""
+        now = self._clock.monotonic()
+        return BudgetUse(
+            self._retries.find(now),
+            self._calls.find(now) * self._ratio + self._min_retries,
+        )
 
     def try_acquire(self) -> bool:
         """Consume one retry; return False if the budget is exhausted."""
-        bucket = self._current_bucket()
-        allowed = self._calls * self._ratio + self._min_retries
-        if self._retries + 1 > allowed:
+        spent, allowed = self.use()
+        if spent + 1 > allowed:
             return False
-        bucket[2] += 1
-        self._retries += 1
+        self._retries.add(self._clock.monotonic(), 1)
         return True
 
-    def _current_bucket(self) -> list[int]:
-        now = int(self._clock.monotonic())
-        buckets = self._buckets
-        if buckets and buckets[-1][0] == now:
-            return buckets[-1]
-        while buckets and buckets[0][0] <= now - self._window_seconds:
-            _, calls, retries = buckets.popleft()
-            self._calls -= calls
-            self._retries -= retries
-        buckets.append([now, 0, 0])
-        return buckets[-1]
+
+class _Bucket(NamedTuple):
+    number: int
+    amount: float
+
+
+class _SlidingSum:
+    """Sum of the amounts of the last ``seconds``.
+
+    An amount counts for up to the length of a bucket longer.
+    """
+
+    def __init__(self, seconds: float) -> None:
+        self._seconds = seconds
+        self._buckets: deque[_Bucket] = deque()
+        self._total = float(0)
+
+    def add(self, now: float, amount: float) -> None:
+        number = math.floor(now / _BUCKET_SECONDS)
+        if self._buckets and self._buckets[-1].number == number:
+            amount_before = self._buckets.pop().amount
+            self._buckets.append(_Bucket(number, amount_before + amount))
+        else:
+            self._buckets.append(_Bucket(number, amount))
+        self._total += amount
+
+    def find(self, now: float) -> float:
+        ended_by = math.floor((now - self._seconds) / _BUCKET_SECONDS)
+        while self._buckets and self._buckets[0].number < ended_by:
+            self._total -= self._buckets.popleft().amount
+        if not self._buckets:
+            self._total = float(0)
+        return self._total
