Log each decision about a retry, with what the budget holds

The event retry_decided names the service, the outcome of the attempt before, the retries spent and allowed; wagtailline_retries_total counts by cause and decision. Budgets move to a module of their own. No decision changes.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -18,6 +18,7 @@
 from wagtailline_sidecar.model import IngressLimits, Snapshot
 from wagtailline_sidecar.peer_calls import PeerCalls
 from wagtailline_sidecar.quotas import Quotas, TokenIssuer
+from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.routing import Splitter
@@ -158,7 +159,11 @@
         selector,
         peers,
         core.clock,
-        RetryPolicy(core.clock, make_budget, guard),
+        RetryPolicy(
+            core.clock,
+            RetryBudgets(make_budget, core.telemetry.observe),
+            guard,
+        ),
         core.names,
         core.telemetry.observe,
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
@@ -1,16 +1,14 @@
 """Decides whether a request is sent to another endpoint after a failure."""
 
-from collections.abc import Callable
-
 from wagtailline.calls import Refusal
 from wagtailline.ports import MonotonicClock
-from wagtailline.routing import RetryBudget
 from wagtailline_sidecar.forwarding_state import (
     CRASH_REASONS,
     UPSTREAM_REASONS,
     ForwardingState,
     OutgoingRequest,
 )
+from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import FailedAttempt, RetryGuard
 
 # A request is not retried after more failed attempts than this that did not
@@ -25,22 +23,21 @@
     def __init__(
         self,
         clock: MonotonicClock,
-        make_budget: Callable[[], RetryBudget],
+        budgets: RetryBudgets,
         guard: RetryGuard,
     ) -> None:
-        """Set up a policy without budgets so far.
+        """Set up a policy.
 
-        ``make_budget`` creates the budget for the retries of one service, and
-        ``guard`` withholds those of requests that crash their upstreams.
+        ``budgets`` limit the retries of each service, and ``guard`` withholds
+        those of requests that crash their upstreams.
         """
         self._clock = clock
-        self._make_budget = make_budget
+        self._budgets = budgets
         self._guard = guard
-        self._budgets: dict[str, RetryBudget] = {}
 
     def record_request(self, service: str) -> None:
         """Count a request to a service, from which its budget grows."""
-        self._retry_budget(service).record_call()
+        self._budgets.record_request(service)
 
     def record_answer(
         self, state: ForwardingState, outgoing: OutgoingRequest
@@ -89,7 +86,7 @@
         digest = outgoing.digest(state.service)
         if not await self._guard.permits(digest, attempt):
             return False
-        return self._retry_budget(state.service).try_acquire()
+        return self._try_acquire(state)
 
     def permits_after_answer(
         self, state: ForwardingState, outgoing: OutgoingRequest
@@ -106,7 +103,7 @@
             outgoing.digest(state.service), state.admitted.request_id
         ):
             return False
-        return self._retry_budget(state.service).try_acquire()
+        return self._try_acquire(state)
 
     def _is_retryable(
         self, state: ForwardingState, outgoing: OutgoingRequest
@@ -119,9 +116,10 @@
             return False
         return self._clock.monotonic() < state.admitted.deadline
 
-    def _retry_budget(self, service: str) -> RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._make_budget()
-            self._budgets[service] = budget
-        return budget
+    def _try_acquire(self, state: ForwardingState) -> bool:
+        """Consume a retry of the budget; return False if it is exhausted."""
+        return self._budgets.try_acquire(
+            state.service,
+            state.admitted.request_id,
+            state.attempts[-1].outcome,
+        )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -18,6 +18,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.retry_budgets import RetryDecided
 from wagtailline_sidecar.source_replica import SourceReadEnded
 
 _LATENCY_BUCKETS_SECONDS = (
@@ -92,7 +93,7 @@
             buckets=_LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
-        self._create_refresh_metrics()
+        self._create_path_metrics()
 
     def observe_start_delay(self, seconds: float) -> None:
         """Count the time that a read request waited for the processor."""
@@ -110,6 +111,10 @@
                 )
             case GateCallEnded():
                 self._observe_gate_call(event)
+            case RetryDecided():
+                self._retries.labels(
+                    event.service, event.cause, event.decision
+                ).inc()
             case RefreshEnded():
                 self._observe_refresh(event)
             case SourceReadEnded():
@@ -130,7 +135,13 @@
         self._occupancy.labels('in_progress').set(event.in_progress)
         self._occupancy.labels('queued').set(event.queued)
 
-    def _create_refresh_metrics(self) -> None:
+    def _create_path_metrics(self) -> None:
+        self._retries = Counter(
+            'wagtailline_retries_total',
+            'Retries that were wanted, by service, cause and decision',
+            ['service', 'cause', 'decision'],
+            registry=self._registry,
+        )
         self._refresh_seconds = Histogram(
             'wagtailline_snapshot_refresh_seconds',
             'Time of attempts to refresh the snapshot, by origin and result',
--- a/packages/wagtailline-sidecar/tests/_crash_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_crash_fleet.py
@@ -19,6 +19,7 @@
 )
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.members import Members
+from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.selection import RemoteCost, Selector
@@ -153,7 +154,12 @@
             self.call_gate,
             self.clock,
             RetryPolicy(
-                self.clock, lambda: RetryBudget(self.clock, 1, 1000), guard
+                self.clock,
+                RetryBudgets(
+                    lambda: RetryBudget(self.clock, 1, 1000),
+                    self.events.append,
+                ),
+                guard,
             ),
             HeaderNames(),
             self.events.append,
--- a/packages/wagtailline-sidecar/tests/_fixtures.py
+++ b/packages/wagtailline-sidecar/tests/_fixtures.py
@@ -14,6 +14,7 @@
     ServiceWeight,
     Snapshot,
 )
+from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 
@@ -105,4 +106,5 @@
 
     keepers = CrashKeepers(NoDatagrams(), Members(clock), clock)
     guard = RetryGuard(keepers, clock, lambda event: None)
-    return RetryPolicy(clock, make_budget, guard)
+    budgets = RetryBudgets(make_budget, lambda event: None)
+    return RetryPolicy(clock, budgets, guard)
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -7,6 +7,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.retry_budgets import DENIED, GRANTED, RetryDecided
 from wagtailline_sidecar.source_replica import SourceReadEnded
 from wagtailline_sidecar.telemetry import Telemetry
 
@@ -47,3 +48,14 @@
     assert f'{name}{{origin="source",result="ok"}} 1.0' in page
     assert f'{name}{{origin="peer",result="failed"}} 1.0' in page
     assert 'wagtailline_snapshot_age_seconds_count 2.0' in page
+
+
+def test_retries_are_counted_by_cause():
+    """Guards against metrics that do not tell why retries were spent."""
+    telemetry = Telemetry(RecordingLog())
+    for decision in (GRANTED, DENIED, DENIED):
+        telemetry.observe(RetryDecided('a', 'desk', '500', decision, 1, 2))
+    page = telemetry.render().decode()
+    name = 'wagtailline_retries_total'
+    labels = 'cause="500",decision="denied",service="desk"'
+    assert f'{name}{{{labels}}} 2.0' in page
