Share the slack of retries among the daemons known now

Cause: the share of a daemon in the slack was fixed with the first request for a service. A daemon asked before it knew endpoints kept the slack of the whole fleet for ever, a restarted one got its share anew, and forgotten daemons' shares went to others. Change: the share follows the daemons known, is empty while none is, never grows as they get fewer, and grows over the first window of a process.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from wagtailline.routing import RetryBudget
 from wagtailline_sidecar import bounds
 from wagtailline_sidecar._compose_core import CoreServices
+from wagtailline_sidecar._compose_retries import build_retry_policy
 from wagtailline_sidecar.admission import Admission
-from wagtailline_sidecar.crash_keepers import CrashKeepers
 from wagtailline_sidecar.datagrams import DatagramEndpoint
 from wagtailline_sidecar.demand import Demand
 from wagtailline_sidecar.demand_reporter import DemandReporter
@@ -18,19 +17,12 @@
 from wagtailline_sidecar.model import IngressLimits, Snapshot
 from wagtailline_sidecar.peer_calls import PeerCalls
 from wagtailline_sidecar.quotas import Quotas, TokenIssuer
-from wagtailline_sidecar.retry_budgets import RetryBudgets
-from wagtailline_sidecar.retry_guard import RetryGuard
-from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.routing import Splitter
 from wagtailline_sidecar.selection import RemoteCost, Selector
 from wagtailline_sidecar.settings import parse_address
 from wagtailline_sidecar.token_requester import TokenRequester
 from wagtailline_sidecar.turns import Turns
 
-# Fraction of the retry budget of all daemons that they use: the load of daemons
-# is unequal, and each call of a retried request counts as a retry.
-_RETRY_BUDGET_FRACTION = 0.3
-
 
 class QuotaServices(NamedTuple):
     """Limits of client accounts and the exchange of datagrams about them."""
@@ -133,36 +125,15 @@
 def _build_forwarder(
     core: CoreServices, peers: PeerCalls, quota_services: QuotaServices
 ) -> Forwarder:
-    settings = core.settings
-    selector = Selector(
-        core.clock, core.random, settings.data_centre, RemoteCost()
-    )
+    data_centre = core.settings.data_centre
+    selector = Selector(core.clock, core.random, data_centre, RemoteCost())
     core.snapshots.subscribe(selector.drop_unlisted)
-    window_seconds = settings.retry_window_seconds
-    slack_per_second = (
-        settings.retry_slack * _RETRY_BUDGET_FRACTION / window_seconds
-    )
-
-    def make_budget() -> RetryBudget:
-        return RetryBudget(
-            core.clock,
-            settings.retry_ratio * _RETRY_BUDGET_FRACTION,
-            slack_per_second / len(quota_services.members),
-            window_seconds,
-        )
-
-    keepers = CrashKeepers(
-        quota_services.datagrams, quota_services.members, core.clock
-    )
-    guard = RetryGuard(keepers, core.clock, core.telemetry.observe)
     return Forwarder(
         selector,
         peers,
         core.clock,
-        RetryPolicy(
-            core.clock,
-            RetryBudgets(make_budget, core.telemetry.observe),
-            guard,
+        build_retry_policy(
+            core, quota_services.datagrams, quota_services.members
         ),
         core.names,
         core.telemetry.observe,
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_retries.py
@@ -0,0 +1,36 @@
+"""Creates what decides about retries."""
+
+from wagtailline.routing import RetryBudget
+from wagtailline_sidecar._compose_core import CoreServices
+from wagtailline_sidecar.crash_keepers import CrashKeepers
+from wagtailline_sidecar.datagrams import DatagramEndpoint
+from wagtailline_sidecar.members import Members
+from wagtailline_sidecar.retry_budgets import RetryBudgets
+from wagtailline_sidecar.retry_guard import RetryGuard
+from wagtailline_sidecar.retry_policy import RetryPolicy
+from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
+
+# Fraction of the retry budget of all daemons that they use: the load of daemons
+# is unequal, and each call of a retried request counts as a retry.
+_RETRY_BUDGET_FRACTION = 0.3
+
+
+def build_retry_policy(
+    core: CoreServices, datagrams: DatagramEndpoint, members: Members
+) -> RetryPolicy:
+    """Create the policy for the retries of all requests."""
+    settings, observe = core.settings, core.telemetry.observe
+    limits = RetryLimits(
+        settings.retry_ratio * _RETRY_BUDGET_FRACTION,
+        settings.retry_slack * _RETRY_BUDGET_FRACTION,
+        settings.retry_window_seconds,
+    )
+    budgets = RetryBudgets(
+        lambda: RetryBudget(core.clock, limits.ratio, 0, limits.window_seconds),
+        RetryShares(core.clock, limits, lambda: len(members.hosts)),
+        observe,
+    )
+    keepers = CrashKeepers(datagrams, members, core.clock)
+    return RetryPolicy(
+        core.clock, budgets, RetryGuard(keepers, core.clock, observe)
+    )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_budgets.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_budgets.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from wagtailline.routing import RetryBudget
+from wagtailline_sidecar.retry_shares import RetryShares
 
 GRANTED = 'granted'
 DENIED = 'denied'
@@ -13,7 +14,8 @@
     """Event: a retry was granted or denied by a budget.
 
     ``cause`` is the outcome of the attempt before. ``spent`` and ``allowed``
-    are the retries of this daemon in the last window before the decision.
+    are the retries of this daemon in the last window before the decision, and
+    ``daemons`` how many share the constant part of what is allowed.
     """
 
     request: str
@@ -22,6 +24,7 @@
     decision: str
     spent: float
     allowed: float
+    daemons: int
 
 
 class RetryBudgets:
@@ -30,25 +33,39 @@
     def __init__(
         self,
         make_budget: Callable[[], RetryBudget],
+        shares: RetryShares,
         observe: Callable[[NamedTuple], None],
     ) -> None:
-        """Set up no budgets; ``make_budget`` creates the one of a service."""
+        """Set up no budgets; ``make_budget`` creates the one of a service.
+
+        ``shares`` sets the constant part of each.
+        """
+        self._shares = shares
         self._make_budget = make_budget
         self._observe = observe
         self._budgets: dict[str, RetryBudget] = {}
 
     def record_request(self, service: str) -> None:
-        """Count a request for a service, from which its budget grows."""
+        """Count a client's request for a service; its budget grows by that."""
         self._find_budget(service).record_call()
 
     def try_acquire(self, service: str, request_id: str, cause: str) -> bool:
         """Consume one retry; return False if the budget is exhausted."""
         budget = self._find_budget(service)
+        budget.min_retries = self._shares.find_slack()
         spent, allowed = budget.use()
         is_granted = budget.try_acquire()
         decision = GRANTED if is_granted else DENIED
         self._observe(
-            RetryDecided(request_id, service, cause, decision, spent, allowed)
+            RetryDecided(
+                request_id,
+                service,
+                cause,
+                decision,
+                spent,
+                allowed,
+                self._shares.daemons,
+            )
         )
         return is_granted
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -118,10 +118,7 @@
             case RefreshEnded():
                 self._observe_refresh(event)
             case SourceReadEnded():
-                self._source_bytes.observe(event.received_bytes)
-                self._source_transfer_seconds.observe(
-                    event.transfer_ms / _MILLISECONDS_PER_SECOND
-                )
+                self._observe_source_read(event)
             case _:
                 self._events_total.labels(event_name(event)).inc()
 
@@ -135,6 +132,12 @@
         self._occupancy.labels('in_progress').set(event.in_progress)
         self._occupancy.labels('queued').set(event.queued)
 
+    def _observe_source_read(self, event: SourceReadEnded) -> None:
+        self._source_bytes.observe(event.received_bytes)
+        self._source_transfer_seconds.observe(
+            event.transfer_ms / _MILLISECONDS_PER_SECOND
+        )
+
     def _create_path_metrics(self) -> None:
         self._retries = Counter(
             'wagtailline_retries_total',
--- a/packages/wagtailline-sidecar/tests/_crash_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_crash_fleet.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from _fixtures import make_endpoint, make_route, make_snapshot
+from _fixtures import make_endpoint, make_route, make_shares, make_snapshot
 from result import Err, Ok
 
 from wagtailline.calls import Answer, Refusal, WholeBody
@@ -156,7 +156,8 @@
             RetryPolicy(
                 self.clock,
                 RetryBudgets(
-                    lambda: RetryBudget(self.clock, 1, 1000),
+                    lambda: RetryBudget(self.clock, 1, 0),
+                    make_shares(self.clock, 10000),
                     self.events.append,
                 ),
                 guard,
--- a/packages/wagtailline-sidecar/tests/_fixtures.py
+++ b/packages/wagtailline-sidecar/tests/_fixtures.py
@@ -17,6 +17,7 @@
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
+from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
 
 HOST = 'desk.example'
 
@@ -92,6 +93,14 @@
     return Snapshot(1, configuration or make_configuration(), endpoints, closed)
 
 
+def make_shares(clock, slack: float) -> RetryShares:
+    """Return the shares of a daemon that has long been alone."""
+    limits = RetryLimits(0, slack, 10)
+    shares = RetryShares(clock, limits, lambda: 1)
+    shares._started_at = float('-inf')
+    return shares
+
+
 def make_policy(clock, make_budget) -> RetryPolicy:
     """Return a policy of a daemon that is alone."""
 
@@ -106,5 +115,6 @@
 
     keepers = CrashKeepers(NoDatagrams(), Members(clock), clock)
     guard = RetryGuard(keepers, clock, lambda event: None)
-    budgets = RetryBudgets(make_budget, lambda event: None)
+    shares = make_shares(clock, make_budget().min_retries)
+    budgets = RetryBudgets(make_budget, shares, lambda event: None)
     return RetryPolicy(clock, budgets, guard)
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_retry_budgets.py
@@ -0,0 +1,119 @@
+"""Tests of the retries of a whole fleet, on a clock that the test sets."""
+
+from random import Random
+
+import pytest
+from _fixtures import FakeClock
+
+from wagtailline.routing import RetryBudget
+from wagtailline_sidecar.retry_budgets import RetryBudgets
+from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
+
+WINDOW_SECONDS = 10
+RATIO = 0.2
+SLACK = 60
+SERVICE = 'desk'
+STEP_SECONDS = 0.1
+
+
+class RetryFleet:
+    """Daemons of which each retries whatever its budget allows."""
+
+    def __init__(self, size: int, seed: int = 1) -> None:
+        self.clock = FakeClock()
+        self.random = Random(seed)
+        self.size = size
+        self.known = [0] * size
+        self.budgets = [self.make_budgets(number) for number in range(size)]
+        self.requests: list[float] = []
+        self.retries: list[float] = []
+
+    def make_budgets(self, number: int) -> RetryBudgets:
+        limits = RetryLimits(RATIO, SLACK, WINDOW_SECONDS)
+        return RetryBudgets(
+            lambda: RetryBudget(self.clock, RATIO, 0, WINDOW_SECONDS),
+            RetryShares(self.clock, limits, lambda: self.known[number]),
+            lambda event: None,
+        )
+
+    def restart(self, number: int) -> None:
+        self.budgets[number] = self.make_budgets(number)
+
+    def send_one(self) -> None:
+        self.random.choice(self.budgets).record_request(SERVICE)
+        self.requests.append(self.clock.now)
+
+    def fail_all(self) -> None:
+        for budgets in self.budgets:
+            while budgets.try_acquire(SERVICE, 'id', '500'):
+                self.retries.append(self.clock.now)
+
+    def run(self, seconds: float, *, is_failing: bool) -> None:
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.now += STEP_SECONDS
+            self.send_one()
+            if is_failing:
+                self.fail_all()
+
+    def find_worst(self) -> float:
+        """Return the largest part of its bound that a window holds."""
+        return max(
+            (self.use(start) for start in self.retries), default=float(0)
+        )
+
+    def use(self, start: float) -> float:
+        end = start + WINDOW_SECONDS
+        retries = sum(start <= at <= end for at in self.retries)
+        requests = max(
+            sum(start - shift <= at <= end - shift for at in self.requests)
+            for shift in (0, WINDOW_SECONDS / 2, WINDOW_SECONDS)
+        )
+        return retries / (RATIO * requests + SLACK)
+
+
+@pytest.mark.parametrize('size', [12, 85])
+def test_daemons_asked_before_endpoints_are_known_share_the_slack(size):
+    """Guards against daemons that keep the slack of the whole fleet for ever.
+
+    The first request came when they knew no endpoint or only a few.
+    """
+    fleet = RetryFleet(size)
+    for budgets in fleet.budgets:
+        budgets.record_request(SERVICE)
+        budgets.try_acquire(SERVICE, 'id', '500')
+    fleet.run(5, is_failing=True)
+    fleet.known = [size] * size
+    fleet.run(40, is_failing=True)
+    assert fleet.retries
+    assert fleet.find_worst() <= 1
+
+
+def test_daemons_that_forget_others_do_not_share_the_slack_anew():
+    """Guards against slack that grows while a data centre is cut off."""
+    size = 12
+    fleet = RetryFleet(size)
+    fleet.known = [size] * size
+    fleet.run(12, is_failing=True)
+    fleet.known = [size // 3] * size
+    fleet.run(30, is_failing=True)
+    assert fleet.find_worst() <= 1
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_restarts_mint_no_slack(seed):
+    """Guards against restarts that let the same retries be spent again."""
+    size = 12
+    fleet = RetryFleet(size, seed)
+    fleet.known = [size] * size
+    fleet.run(12, is_failing=True)
+    for number in range(60):
+        fleet.restart(number % size)
+        fleet.run(0.5, is_failing=True)
+    assert fleet.find_worst() <= 1
+
+
+def test_daemon_that_knows_no_other_has_no_slack():
+    """Guards against a daemon that takes itself for the whole fleet."""
+    fleet = RetryFleet(1)
+    fleet.clock.now += WINDOW_SECONDS
+    assert not fleet.budgets[0].try_acquire(SERVICE, 'id', '500')
--- a/packages/wagtailline/src/wagtailline/routing/_budget.py
+++ b/packages/wagtailline/src/wagtailline/routing/_budget.py
@@ -27,7 +27,8 @@
 
     Within the window it allows ``ratio`` retries for each call plus a constant
     rate of retries, which serves services with little traffic. That holds for
-    any window, wherever it begins.
+    any window, wherever it begins. ``min_retries`` is that constant part, in
+    retries per window; the owner may change it.
     """
 
     def __init__(
@@ -40,7 +41,7 @@
         """Create a budget with no recorded calls."""
         self._clock = clock
         self._ratio = ratio
-        self._min_retries = min_retries_per_second * window_seconds
+        self.min_retries = min_retries_per_second * window_seconds
         self._calls = _SlidingSum(window_seconds - _BUCKET_SECONDS)
         self._retries = _SlidingSum(window_seconds + _ARRIVAL_SECONDS)
 
@@ -53,17 +54,25 @@
         now = self._clock.monotonic()
         return BudgetUse(
             self._retries.find(now),
-            self._calls.find(now) * self._ratio + self._min_retries,
+            self._calls.find(now) * self._ratio + self.min_retries,
         )
 
     def try_acquire(self) -> bool:
         """Consume one retry; return False if the budget is exhausted."""
-        spent, allowed = self.use()
-        if spent + 1 > allowed:
+        if not self.has_room(1):
             return False
-        self._retries.add(self._clock.monotonic(), 1)
+        self.spend(1)
         return True
 
+    def has_room(self, retries: float) -> bool:
+        """Return whether so many more retries are within the budget."""
+        spent, allowed = self.use()
+        return spent + retries <= allowed
+
+    def spend(self, retries: float) -> None:
+        """Count retries; a fraction is the probability of one."""
+        self._retries.add(self._clock.monotonic(), retries)
+
 
 class _Bucket(NamedTuple):
     number: int
