Let only requests of clients add to the retry budget

Cause: the budget grew with calls of upstreams too, but the bound grows with requests of clients only. The test sends again without this.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -75,7 +75,7 @@
         self, state: ForwardingState, outgoing: OutgoingRequest
     ) -> Result[Answer, Refusal]:
         """Return the response, or the last refusal."""
-        self._policy.record_request(state.service)
+        self._policy.record_request(state)
         while True:
             endpoint = self._selector.choose(
                 state.admitted.snapshot,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
@@ -35,9 +35,14 @@
         self._budgets = budgets
         self._guard = guard
 
-    def record_request(self, service: str) -> None:
-        """Count a request to a service, from which its budget grows."""
-        self._budgets.record_request(service)
+    def record_request(self, state: ForwardingState) -> None:
+        """Count a request of a client, from which a budget grows.
+
+        Calls of upstreams are not counted: retries are limited to a part of
+        what clients ask for, however many calls that causes.
+        """
+        if not state.admitted.is_nested:
+            self._budgets.record_request(state.service)
 
     def record_answer(
         self, state: ForwardingState, outgoing: OutgoingRequest
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -61,6 +61,7 @@
     kind=RequestKind.SAFE,
     max_attempts=2,
     retry_ratio=0.2,
+    slack=1,
     endpoint_count=6,
     is_nested=False,
 ):
@@ -70,7 +71,7 @@
         selector,
         gates,
         clock,
-        make_policy(clock, lambda: RetryBudget(clock, retry_ratio)),
+        make_policy(clock, lambda: RetryBudget(clock, retry_ratio, slack)),
         HeaderNames(),
         lambda event: None,
     )
@@ -212,6 +213,14 @@
     assert gates.calls[0].depth == int(is_nested)
 
 
+async def test_calls_of_upstreams_do_not_add_to_the_budget():
+    """Guards against a bound of clients' requests that calls exceed."""
+    gates = FakeGates(Ok(Answer(500, (), WholeBody())))
+    _, forwarding = forward(gates, retry_ratio=1, slack=0, is_nested=True)
+    await forwarding
+    assert len(gates.calls) == 1
+
+
 async def send_each(*outcomes):
     """Send a request for each outcome of one endpoint.
 
