Charge a retry to the services that the retried run calls

Cause: a run that is retried makes its calls again, which count as repeats at the called service, and nothing counted them there. Change: the daemon beside an upstream counts its calls, its gate names the calls per run in its answers, and a retry is granted only if the budgets of the services called have room for them.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -16,6 +16,7 @@
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
+from wagtailline_sidecar.nested_calls import CallReporter, NestedCalls
 from wagtailline_sidecar.peer_calls import PeerCalls, Peers
 from wagtailline_sidecar.rate_limit import RateLimit
 from wagtailline_sidecar.settings import SidecarSettings, parse_address
@@ -36,7 +37,9 @@
     snapshot_exchange: SnapshotExchange
 
 
-def build_gate_services(core: CoreServices) -> GateServices:
+def build_gate_services(
+    core: CoreServices, nested_calls: NestedCalls
+) -> GateServices:
     """Create the gate of the local upstream and serve it to the peers."""
     settings, observe = core.settings, core.telemetry.observe
     warm_up = WarmUp(
@@ -57,18 +60,19 @@
     core.snapshots.subscribe(local.apply_snapshot)
     peers = _build_peers(core)
     uplink = Uplink(core.clock, _link_rate(settings))
+    gate_service = GateService(
+        gate,
+        upstream,
+        local,
+        AnswerLink(uplink, settings.vm),
+        core.clock,
+        observe,
+        core.names,
+    )
     calls = PeerCalls(
         settings.vm,
         peers,
-        GateService(
-            gate,
-            upstream,
-            local,
-            AnswerLink(uplink, settings.vm),
-            core.clock,
-            observe,
-            core.names,
-        ),
+        CallReporter(gate_service, nested_calls, core.names),
         core.report_error,
         uplink,
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -15,6 +15,7 @@
 from wagtailline_sidecar.ingress import Ingress, IngressDependencies
 from wagtailline_sidecar.members import Members
 from wagtailline_sidecar.model import IngressLimits, Snapshot
+from wagtailline_sidecar.nested_calls import NestedCalls
 from wagtailline_sidecar.peer_calls import PeerCalls
 from wagtailline_sidecar.quotas import Quotas, TokenIssuer
 from wagtailline_sidecar.routing import Splitter
@@ -82,6 +83,7 @@
     core: CoreServices,
     peers: PeerCalls,
     quota_services: QuotaServices,
+    nested_calls: NestedCalls,
     stops_at: Callable[[], float],
 ) -> HttpListener:
     """Create the listener for requests of clients and of the local upstream."""
@@ -98,7 +100,7 @@
         ),
         quota_services.quotas,
         Splitter(core.random),
-        _build_forwarder(core, peers, quota_services),
+        _build_forwarder(core, peers, quota_services, nested_calls),
     )
     handler = Ingress(
         dependencies,
@@ -123,7 +125,10 @@
 
 
 def _build_forwarder(
-    core: CoreServices, peers: PeerCalls, quota_services: QuotaServices
+    core: CoreServices,
+    peers: PeerCalls,
+    quota_services: QuotaServices,
+    nested_calls: NestedCalls,
 ) -> Forwarder:
     data_centre = core.settings.data_centre
     selector = Selector(core.clock, core.random, data_centre, RemoteCost())
@@ -133,7 +138,7 @@
         peers,
         core.clock,
         build_retry_policy(
-            core, quota_services.datagrams, quota_services.members
+            core, quota_services.datagrams, quota_services.members, nested_calls
         ),
         core.names,
         core.telemetry.observe,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_retries.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_retries.py
@@ -5,18 +5,22 @@
 from wagtailline_sidecar.crash_keepers import CrashKeepers
 from wagtailline_sidecar.datagrams import DatagramEndpoint
 from wagtailline_sidecar.members import Members
+from wagtailline_sidecar.nested_calls import CallRatios, NestedCalls
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
 
-# Fraction of the retry budget of all daemons that they use: the load of daemons
-# is unequal, and each call of a retried request counts as a retry.
+# Fraction of the retry budget of all daemons that they use: requests shift
+# between windows, and the calls of a retried run are an estimate.
 _RETRY_BUDGET_FRACTION = 0.3
 
 
 def build_retry_policy(
-    core: CoreServices, datagrams: DatagramEndpoint, members: Members
+    core: CoreServices,
+    datagrams: DatagramEndpoint,
+    members: Members,
+    nested_calls: NestedCalls,
 ) -> RetryPolicy:
     """Create the policy for the retries of all requests."""
     settings, observe = core.settings, core.telemetry.observe
@@ -28,9 +32,13 @@
     budgets = RetryBudgets(
         lambda: RetryBudget(core.clock, limits.ratio, 0, limits.window_seconds),
         RetryShares(core.clock, limits, lambda: len(members.hosts)),
+        CallRatios(),
         observe,
     )
     keepers = CrashKeepers(datagrams, members, core.clock)
     return RetryPolicy(
-        core.clock, budgets, RetryGuard(keepers, core.clock, observe)
+        core.clock,
+        budgets,
+        RetryGuard(keepers, core.clock, observe),
+        nested_calls,
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -11,6 +11,7 @@
 )
 from wagtailline_sidecar.daemon import Daemon, Readiness
 from wagtailline_sidecar.http_listener import HttpListener
+from wagtailline_sidecar.nested_calls import NestedCalls
 from wagtailline_sidecar.settings import parse_address
 from wagtailline_sidecar.source_reader import (
     Location,
@@ -28,13 +29,15 @@
 
 def build_daemon(core: CoreServices, source: Source) -> Daemon:
     """Create all services of the daemon without starting them."""
+    nested_calls = NestedCalls(core.clock)
     quota_services = build_quota_services(core)
-    gate_services = build_gate_services(core)
+    gate_services = build_gate_services(core, nested_calls)
     readiness = Readiness(core.snapshots)
     ingress = build_ingress(
         core,
         gate_services.calls,
         quota_services,
+        nested_calls,
         lambda: readiness.stops_at,
     )
     services: dict[str, object] = {
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -26,7 +26,7 @@
     OutgoingRequest,
 )
 from wagtailline_sidecar.header_names import HeaderNames
-from wagtailline_sidecar.http_messages import find_header
+from wagtailline_sidecar.http_messages import drop_headers, find_header
 from wagtailline_sidecar.model import Endpoint
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.selection import Selector
@@ -130,7 +130,9 @@
         state.is_sent = True
         try:
             outcome = await self._buffer_body(
-                await self._call_gate(request, body)
+                self._take_calls_per_run(
+                    state.service, await self._call_gate(request, body)
+                )
             )
         except asyncio.CancelledError:
             elapsed_seconds = self._clock.monotonic() - started
@@ -142,6 +144,21 @@
         self._record_outcome(state, endpoint, outcome, elapsed_seconds)
         return outcome
 
+    def _take_calls_per_run(
+        self, service: str, outcome: Result[Answer, Refusal]
+    ) -> Result[Answer, Refusal]:
+        """Record and drop the header that a gate adds to its answers."""
+        if isinstance(outcome, Err):
+            return outcome
+        answer = outcome.ok_value
+        name = self._names.calls_per_run
+        report = find_header(answer.headers, name)
+        if report is None:
+            return outcome
+        self._policy.record_calls_per_run(service, report)
+        headers = drop_headers(answer.headers, (name,))
+        return Ok(answer._replace(headers=headers))
+
     async def _buffer_body(
         self, outcome: Result[Answer, Refusal]
     ) -> Result[Answer, Refusal]:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/header_names.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/header_names.py
@@ -12,7 +12,8 @@
     ``warm_up_ms`` is set on responses to health checks. Responses of an
     upstream name its limit of requests per second in ``rate_limit``, and bear
     ``leaving`` when it is about to stop. ``known_rate_limit`` is set on calls
-    between daemons only, by senders that have passed on such a limit.
+    between daemons only, by senders that have passed on such a limit, and
+    ``calls_per_run`` on answers between daemons only.
     """
 
     request_id: bytes = b'wagtailline-request-id'
@@ -27,5 +28,6 @@
     rate_limit: bytes = b'wagtailline-rate-limit'
     leaving: bytes = b'wagtailline-leaving'
     known_rate_limit: bytes = b'wagtailline-known-rate-limit'
+    calls_per_run: bytes = b'wagtailline-calls-per-run'
     authorization: bytes = b'authorization'
     retry_after: bytes = b'retry-after'
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
@@ -8,6 +8,7 @@
     ForwardingState,
     OutgoingRequest,
 )
+from wagtailline_sidecar.nested_calls import NestedCalls
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import FailedAttempt, RetryGuard
 
@@ -25,12 +26,15 @@
         clock: MonotonicClock,
         budgets: RetryBudgets,
         guard: RetryGuard,
+        nested_calls: NestedCalls,
     ) -> None:
         """Set up a policy.
 
         ``budgets`` limit the retries of each service, and ``guard`` withholds
-        those of requests that crash their upstreams.
+        those of requests that crash their upstreams. ``nested_calls`` counts
+        the calls of the local upstream.
         """
+        self._nested_calls = nested_calls
         self._clock = clock
         self._budgets = budgets
         self._guard = guard
@@ -41,9 +45,15 @@
         Calls of upstreams are not counted: retries are limited to a part of
         what clients ask for, however many calls that causes.
         """
-        if not state.admitted.is_nested:
+        if state.admitted.is_nested:
+            self._nested_calls.record_call(state.service)
+        else:
             self._budgets.record_request(state.service)
 
+    def record_calls_per_run(self, service: str, report: bytes) -> None:
+        """Record the calls that each run at a service makes, by an answer."""
+        self._budgets.record_calls_per_run(service, report)
+
     def record_answer(
         self, state: ForwardingState, outgoing: OutgoingRequest
     ) -> None:
@@ -127,4 +137,5 @@
             state.service,
             state.admitted.request_id,
             state.attempts[-1].outcome,
+            is_nested=state.admitted.is_nested,
         )
--- a/packages/wagtailline-sidecar/tests/_crash_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_crash_fleet.py
@@ -19,6 +19,7 @@
 )
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.members import Members
+from wagtailline_sidecar.nested_calls import CallRatios, NestedCalls
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
@@ -158,9 +159,11 @@
                 RetryBudgets(
                     lambda: RetryBudget(self.clock, 1, 0),
                     make_shares(self.clock, 10000),
+                    CallRatios(),
                     self.events.append,
                 ),
                 guard,
+                NestedCalls(self.clock),
             ),
             HeaderNames(),
             self.events.append,
--- a/packages/wagtailline-sidecar/tests/_fixtures.py
+++ b/packages/wagtailline-sidecar/tests/_fixtures.py
@@ -14,6 +14,7 @@
     ServiceWeight,
     Snapshot,
 )
+from wagtailline_sidecar.nested_calls import CallRatios, NestedCalls
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
@@ -116,5 +117,7 @@
     keepers = CrashKeepers(NoDatagrams(), Members(clock), clock)
     guard = RetryGuard(keepers, clock, lambda event: None)
     shares = make_shares(clock, make_budget().min_retries)
-    budgets = RetryBudgets(make_budget, shares, lambda event: None)
-    return RetryPolicy(clock, budgets, guard)
+    budgets = RetryBudgets(
+        make_budget, shares, CallRatios(), lambda event: None
+    )
+    return RetryPolicy(clock, budgets, guard, NestedCalls(clock))
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -221,6 +221,14 @@
     assert len(gates.calls) == 1
 
 
+async def test_calls_per_run_are_not_passed_on():
+    """Guards against a header between daemons that callers get to see."""
+    header = HeaderNames().calls_per_run, b'{"vault":1.0}'
+    gates = FakeGates(Ok(Answer(200, (header, (b'a', b'b')), WholeBody())))
+    _, forwarding = forward(gates)
+    assert (await forwarding).ok_value.headers == ((b'a', b'b'),)
+
+
 async def send_each(*outcomes):
     """Send a request for each outcome of one endpoint.
 
--- a/packages/wagtailline-sidecar/tests/test_retry_budgets.py
+++ b/packages/wagtailline-sidecar/tests/test_retry_budgets.py
@@ -4,8 +4,17 @@
 
 import pytest
 from _fixtures import FakeClock
+from result import Ok
 
+from wagtailline.calls import Answer, CallRequest, WholeBody
 from wagtailline.routing import RetryBudget
+from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import find_header
+from wagtailline_sidecar.nested_calls import (
+    CallRatios,
+    CallReporter,
+    NestedCalls,
+)
 from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
 
@@ -33,6 +42,7 @@
         return RetryBudgets(
             lambda: RetryBudget(self.clock, RATIO, 0, WINDOW_SECONDS),
             RetryShares(self.clock, limits, lambda: self.known[number]),
+            CallRatios(),
             lambda event: None,
         )
 
@@ -117,3 +127,61 @@
     fleet = RetryFleet(1)
     fleet.clock.now += WINDOW_SECONDS
     assert not fleet.budgets[0].try_acquire(SERVICE, 'id', '500')
+
+
+def test_retries_of_a_caller_stay_within_the_bound_of_the_called_service():
+    """Guards against calls of retried runs that the called service bears."""
+    fleet = RetryFleet(12)
+    fleet.known = [12] * 12
+    upstream_calls = NestedCalls(fleet.clock)
+    for _ in range(10):
+        upstream_calls.record_run()
+        upstream_calls.record_call('vault')
+        upstream_calls.record_call('vault')
+    for budgets in fleet.budgets:
+        budgets.record_calls_per_run(SERVICE, upstream_calls.report())
+    fleet.run(40, is_failing=True)
+    # Each retry makes two calls to a service that no client asks for anything.
+    calls = 2 * len([at for at in fleet.retries if at > fleet.clock.now - 10])
+    assert 0 < calls <= SLACK
+
+
+def test_calls_per_run_are_those_of_lately():
+    """Guards against retries that cost what an old version of a run called."""
+    clock = FakeClock()
+    calls = NestedCalls(clock)
+    for _ in range(4):
+        calls.record_run()
+        calls.record_call('vault')
+    assert calls.report() == b'{"vault":1.0}'
+    for _ in range(120):
+        clock.now += 1
+        calls.record_run()
+        calls.report()
+    assert calls.report() == b''
+
+
+@pytest.mark.parametrize('report', [b'', b'{', b'[1]', b'{"vault":"1"}'])
+def test_malformed_report_is_ignored(report):
+    """Guards against a daemon that fails over the header of another one."""
+    ratios = CallRatios()
+    ratios.record(SERVICE, report)
+    assert not ratios.find(SERVICE)
+
+
+@pytest.mark.parametrize('depth', [0, 1])
+async def test_answers_to_clients_name_the_calls_per_run(depth):
+    """Guards against retries of runs whose calls no daemon knows."""
+    calls = NestedCalls(FakeClock())
+    calls.record_call('vault')
+    reporter = CallReporter(answer_all, calls, HeaderNames())
+    request = CallRequest(
+        1, 'host', 'status', '', '', 'GET', '/', (), 1000, depth=depth
+    )
+    answer = (await reporter(request, WholeBody())).ok_value
+    report = find_header(answer.headers, HeaderNames().calls_per_run)
+    assert report == (None if depth else b'{"vault":1.0}')
+
+
+async def answer_all(request, body):
+    return Ok(Answer(200, (), WholeBody()))
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -54,7 +54,9 @@
     """Guards against metrics that do not tell why retries were spent."""
     telemetry = Telemetry(RecordingLog())
     for decision in (GRANTED, DENIED, DENIED):
-        telemetry.observe(RetryDecided('a', 'desk', '500', decision, 1, 2, 9))
+        telemetry.observe(
+            RetryDecided('a', 'desk', '500', decision, 'desk', 1, 2, 9)
+        )
     page = telemetry.render().decode()
     name = 'wagtailline_retries_total'
     labels = 'cause="500",decision="denied",service="desk"'
