--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_retries.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_retries.py
@@ -13,7 +13,7 @@
 
 # Fraction of the retry budget of all daemons that they use: requests shift
 # between windows, and the calls of a retried run are an estimate.
-_RETRY_BUDGET_FRACTION = 0.3
+_RETRY_BUDGET_FRACTION = 0.5
 
 
 def build_retry_policy(
