--- a/packages/wagtailline-sidecar/tests/_crash_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_crash_fleet.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import NamedTuple
 
-from _fixtures import make_endpoint, make_route, make_snapshot
+from _fixtures import make_endpoint, make_route, make_shares, make_snapshot
 from result import Err, Ok
 
 from wagtailline.calls import Answer, Refusal, WholeBody
@@ -19,6 +19,8 @@
 )
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.members import Members
+from wagtailline_sidecar.nested_calls import CallRatios, NestedCalls
+from wagtailline_sidecar.retry_budgets import RetryBudgets
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.selection import RemoteCost, Selector
@@ -59,6 +61,8 @@
         await asyncio.sleep(HOP_SECONDS)
         if not self.is_up:
             return Err(Refusal('upstream_unreachable', 'no', 250))
+        if self.fleet.is_shedding and self.fleet.shed(request.request_id):
+            return Err(Refusal('upstream_shed', 'no'))
         loop = asyncio.get_running_loop()
         is_crash = request.target == CRASHING
         self.fleet.arrivals.append(
@@ -122,6 +126,8 @@
         self.events: list = []
         self.datagrams = 0
         self.silent_hosts: set[str] = set()
+        self.is_shedding = False
+        self.shed_requests: set[str] = set()
         self.hosts = [f'10.0.{n // 250}.{n % 250 + 1}' for n in range(daemons)]
         self.upstreams = {
             host: Upstream(self) for host in self.hosts[-upstreams:]
@@ -153,12 +159,26 @@
             self.call_gate,
             self.clock,
             RetryPolicy(
-                self.clock, lambda: RetryBudget(self.clock, 1, 1000), guard
+                self.clock,
+                RetryBudgets(
+                    lambda: RetryBudget(self.clock, 1, 0),
+                    make_shares(self.clock, 10000),
+                    CallRatios(),
+                    self.events.append,
+                ),
+                guard,
+                NestedCalls(self.clock),
             ),
             HeaderNames(),
             self.events.append,
         )
 
+    def shed(self, request_id: str) -> bool:
+        """Return whether a request arrives for the first time and is shed."""
+        is_first = request_id not in self.shed_requests
+        self.shed_requests.add(request_id)
+        return is_first
+
     def deliver(self, host: str, message) -> None:
         for receiver in self.networks[host].receivers:
             receiver(message)
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -61,6 +61,7 @@
     kind=RequestKind.SAFE,
     max_attempts=2,
     retry_ratio=0.2,
+    slack=1,
     endpoint_count=6,
     is_nested=False,
 ):
@@ -70,7 +71,7 @@
         selector,
         gates,
         clock,
-        make_policy(clock, lambda: RetryBudget(clock, retry_ratio)),
+        make_policy(clock, lambda: RetryBudget(clock, retry_ratio, slack)),
         HeaderNames(),
         lambda event: None,
     )
@@ -212,6 +213,22 @@
     assert gates.calls[0].depth == int(is_nested)
 
 
+async def test_calls_of_upstreams_do_not_add_to_the_budget():
+    """Guards against a bound of clients' requests that calls exceed."""
+    gates = FakeGates(Ok(Answer(500, (), WholeBody())))
+    _, forwarding = forward(gates, retry_ratio=1, slack=0, is_nested=True)
+    await forwarding
+    assert len(gates.calls) == 1
+
+
+async def test_calls_per_run_are_not_passed_on():
+    """Guards against a header between daemons that callers get to see."""
+    header = HeaderNames().calls_per_run, b'{"vault":1.0}'
+    gates = FakeGates(Ok(Answer(200, (header, (b'a', b'b')), WholeBody())))
+    _, forwarding = forward(gates)
+    assert (await forwarding).ok_value.headers == ((b'a', b'b'),)
+
+
 async def send_each(*outcomes):
     """Send a request for each outcome of one endpoint.
 
