Tell why bytes of an upstream are no answer

Change: event answer_rejected with the reason, the waiting request and how many requests the connection had carried, and a counter by reason. The parsing of responses moves from client_connection.py to _response_reader.py for it; which bytes are accepted is as before.

--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -0,0 +1,195 @@
+"""Parsing of the responses on a client connection, and whose they are."""
+
+from collections.abc import Callable
+
+import httptools
+
+from wagtailline.calls import Headers
+from wagtailline_sidecar._client_types import ClientRequest
+from wagtailline_sidecar._response_limits import ResponseLimits
+from wagtailline_sidecar.answer_events import (
+    AnswerRejected,
+    RejectionObserver,
+    RejectionReason,
+)
+from wagtailline_sidecar.http_messages import (
+    CONNECTION,
+    CONTENT_LENGTH,
+    KEEP_ALIVE,
+    TRANSFER_ENCODING,
+    find_header,
+    split_tokens,
+)
+
+_CLOSE = b'close'
+_FIRST_FINAL_STATUS = 200
+_SWITCHING_PROTOCOLS = 101
+
+
+class ResponseRejected(Exception):
+    """The received bytes can't be the response to the waiting request."""
+
+
+class ResponseReader:
+    """Reader of one response at a time, which skips those to other requests.
+
+    ``is_failed`` is set once the bytes that follow have no meaning, and
+    ``must_close`` if the connection is not fit for another request.
+    """
+
+    def __init__(
+        self, take_body: Callable[[bytes], None], observe: RejectionObserver
+    ) -> None:
+        """Create a reader that passes on each part of an expected body.
+
+        ``observe`` is called with each event about bytes that are rejected.
+        """
+        self._parser = httptools.HttpResponseParser(self)
+        self._take_body = take_body
+        self._observe = observe
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._is_skipping = False
+        self._limits = ResponseLimits()
+        self.request: ClientRequest | None = None
+        self.exchanges = 0
+        self.status = 0
+        self.headers: Headers = ()
+        self.is_head_complete = False
+        self.is_complete = False
+        self.is_failed = False
+        self.must_close = False
+        self.keep_alive_timeout_seconds: float | None = None
+
+    @property
+    def has_framing(self) -> bool:
+        """Return whether the end of the body doesn't need the connection's."""
+        return _has_framing(self.headers)
+
+    def start(self, request: ClientRequest) -> None:
+        """Expect the response to a request."""
+        self.request = request
+        self.exchanges += 1
+        self.is_head_complete = False
+        self.is_complete = False
+        self._is_skipping = False
+        self._limits = ResponseLimits()
+
+    def end(self) -> None:
+        """Expect nothing until the next request."""
+        self.request = None
+
+    def feed(self, content: bytes) -> None:
+        """Parse received bytes."""
+        if self.request is None:
+            self._fail(RejectionReason.UNEXPECTED)
+            return
+        try:
+            self._parser.feed_data(content)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._fail_parsing()
+            return
+        if self._limits.is_exceeded(
+            len(content), is_head_complete=self.is_head_complete
+        ):
+            self._fail(RejectionReason.MALFORMED)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Append a header; ignore trailers, which follow the body."""
+        if not self.is_head_complete:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Accept a response head; skip a response to another request."""
+        self._limits.record_progress()
+        status = self._parser.get_status_code()
+        headers, self._headers = tuple(self._headers), []
+        if status == _SWITCHING_PROTOCOLS:
+            raise ResponseRejected('no protocol upgrade was requested')
+        if self.is_complete or self.request is None:
+            raise ResponseRejected('a response follows the end of the response')
+        self._is_skipping = status < _FIRST_FINAL_STATUS
+        if self._is_skipping:
+            return
+        if not self._matches_request(headers):
+            self._skip_foreign()
+            return
+        self.status = status
+        self.headers = headers
+        self.is_head_complete = True
+        self._read_connection_options(headers)
+
+    def on_body(self, content: bytes) -> None:
+        """Pass on a part of the body unless it is skipped."""
+        self._limits.record_progress()
+        if self._is_skipping:
+            return
+        if self.is_complete:
+            self._fail(RejectionReason.SURPLUS)
+            return
+        self._take_body(content)
+
+    def on_message_complete(self) -> None:
+        """Mark the response as complete unless it is skipped."""
+        if self._is_skipping:
+            self._is_skipping = False
+            return
+        self.is_complete = True
+
+    def _skip_foreign(self) -> None:
+        self._is_skipping = True
+        self.must_close = True
+        self._report(RejectionReason.OTHER_REQUEST)
+
+    def _read_connection_options(self, headers: Headers) -> None:
+        is_closing = _CLOSE in split_tokens(find_header(headers, CONNECTION))
+        if is_closing or self._is_unidentified(headers):
+            self.must_close = True
+        for token in split_tokens(find_header(headers, KEEP_ALIVE)):
+            name, _, seconds = token.partition(b'=')
+            if name == b'timeout' and seconds.isdigit():
+                self.keep_alive_timeout_seconds = float(seconds)
+
+    def _matches_request(self, headers: Headers) -> bool:
+        request = self.request
+        if request is None or request.echo_header is None:
+            return True
+        name, sent_value = request.echo_header
+        echoed_value = find_header(headers, name)
+        return echoed_value is None or echoed_value == sent_value
+
+    def _is_unidentified(self, headers: Headers) -> bool:
+        """Return whether a copy of the response could answer a later request.
+
+        It doesn't name its request, so it can't be told from other responses.
+        """
+        request = self.request
+        return (
+            request is not None
+            and request.echo_header is not None
+            and find_header(headers, request.echo_header[0]) is None
+        )
+
+    def _fail_parsing(self) -> None:
+        """Fail; bytes behind a whole response don't make it malformed."""
+        if self.is_complete:
+            self._fail(RejectionReason.SURPLUS)
+        else:
+            self._fail(RejectionReason.MALFORMED)
+
+    def _fail(self, reason: RejectionReason) -> None:
+        self.is_failed = True
+        self._report(reason)
+
+    def _report(self, reason: RejectionReason) -> None:
+        request = self.request
+        request_id = b''
+        if request is not None and request.echo_header is not None:
+            request_id = request.echo_header[1]
+        self._observe(
+            AnswerRejected(reason, request_id.decode('latin-1'), self.exchanges)
+        )
+
+
+def _has_framing(headers: Headers) -> bool:
+    names = {name for name, _ in headers}
+    return CONTENT_LENGTH in names or TRANSFER_ENCODING in names
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
@@ -0,0 +1,33 @@
+"""Log events about responses that are not the answer to a request."""
+
+from collections.abc import Callable
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RejectionReason(StrEnum):
+    """Why received bytes are not the response to the waiting request."""
+
+    MALFORMED = 'malformed'
+    OTHER_REQUEST = 'other_request'
+    SURPLUS = 'surplus'
+    UNEXPECTED = 'unexpected'
+
+
+class AnswerRejected(NamedTuple):
+    """Event: an upstream sent bytes that are not the expected response.
+
+    ``request`` is the id of the waiting request, if any, and ``exchanges``
+    the number of requests that the connection has carried.
+    """
+
+    reason: str
+    request: str
+    exchanges: int
+
+
+RejectionObserver = Callable[[AnswerRejected], None]
+
+
+def ignore_rejection(event: AnswerRejected) -> None:
+    """Ignore a rejection; the default if no observer is set."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -4,9 +4,7 @@
 from collections.abc import Callable
 from typing import cast
 
-import httptools
-
-from wagtailline.calls import Body, BodyTruncated, Headers, WholeBody
+from wagtailline.calls import Body, BodyTruncated, WholeBody
 from wagtailline.ports import Address
 from wagtailline.streams import set_unacknowledged_timeout
 from wagtailline_sidecar._client_types import (
@@ -17,17 +15,13 @@
     ConnectionFailed,
 )
 from wagtailline_sidecar._request_writer import RequestWriter
-from wagtailline_sidecar._response_limits import ResponseLimits
+from wagtailline_sidecar._response_reader import ResponseReader
 from wagtailline_sidecar._response_stream import ResponseStream
-from wagtailline_sidecar.http_messages import (
-    CONNECTION,
-    CONTENT_LENGTH,
-    KEEP_ALIVE,
-    TRANSFER_ENCODING,
-    find_header,
-    has_body,
-    split_tokens,
+from wagtailline_sidecar.answer_events import (
+    RejectionObserver,
+    ignore_rejection,
 )
+from wagtailline_sidecar.http_messages import has_body
 
 __all__ = (
     'AnswerMalformed',
@@ -42,9 +36,6 @@
 
 # Larger response bodies are streamed instead of buffered.
 MAX_BUFFERED_BYTES = 1024 * 1024
-_CLOSE = b'close'
-_FIRST_FINAL_STATUS = 200
-_SWITCHING_PROTOCOLS = 101
 _READ_HIGH_WATER_BYTES = 512 * 1024
 
 
@@ -52,50 +43,43 @@
     """Protocol of one connection, which carries one request at a time.
 
     A connection that received bytes outside of an expected response is not
-    reused. ``opened_at`` is the time at which its pool opened it, and
-    ``on_idle_lost`` is called if the server ends it between two requests.
+    reused. ``opened_at`` is the time at which its pool opened it,
+    ``on_idle_lost`` is called if the server ends it between two requests, and
+    ``observe_rejection`` with each event about bytes that are rejected.
     """
 
     def __init__(self) -> None:
         """Set up a protocol that is usable once the connection is made."""
-        self._parser = httptools.HttpResponseParser(self)
+        self._reader = ResponseReader(
+            self._take_body, lambda event: self.observe_rejection(event)
+        )
         self._transport: asyncio.Transport | None = None
-        self._request: ClientRequest | None = None
-        self._headers: list[tuple[bytes, bytes]] = []
         self._chunks: list[bytes] = []
         self._buffered_bytes = 0
         self._wakeup: asyncio.Future[None] | None = None
-        self._response_headers: Headers = ()
-        self._status = 0
-        self._is_head_complete = False
-        self._is_complete = False
-        self._is_skipping = False
-        self._is_malformed = False
         self._is_lost = False
-        self._lost_cleanly = False
-        self._must_close = False
-        self._limits = ResponseLimits()
+        self._is_closed = False
         self._writer = RequestWriter(self.close)
         self._on_data: Callable[[], None] | None = None
         self.on_idle_lost: Callable[[], None] | None = None
-        self.keep_alive_timeout_seconds: float | None = None
+        self.observe_rejection: RejectionObserver = ignore_rejection
         self.first_byte_at: float | None = None
         self.opened_at = float('-inf')
 
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection is idle and fit for a request."""
-        return not (
-            self._is_lost
-            or self._is_malformed
-            or self._must_close
-            or self._request is not None
-        )
+        return self.is_open and self._reader.request is None
 
     @property
     def is_open(self) -> bool:
         """Return whether neither side has ended the connection."""
-        return not (self._is_lost or self._must_close)
+        return not (self._is_lost or self._is_closed or self._must_close)
+
+    @property
+    def keep_alive_timeout_seconds(self) -> float | None:
+        """Return how long the server keeps the idle connection, if known."""
+        return self._reader.keep_alive_timeout_seconds
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
@@ -114,11 +98,11 @@
         is_unexpected = self.is_reusable
         self._is_lost = True
         self._writer.end()
-        self._lost_cleanly = exc is None
         if is_unexpected and self.on_idle_lost is not None:
             self.on_idle_lost()
-        if self._is_head_complete and not self._has_framing():
-            self._is_complete = exc is None
+        reader = self._reader
+        if reader.is_head_complete and not reader.has_framing:
+            reader.is_complete = exc is None
         self._wake()
 
     def pause_writing(self) -> None:
@@ -131,20 +115,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if none are expected."""
-        if self._request is None:
-            self._reject_input()
-            return
-        if self._on_data is not None:
+        if self._on_data is not None and self._reader.request is not None:
             self._on_data()
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail_malformed()
-            return
-        if self._limits.is_exceeded(
-            len(data), is_head_complete=self._is_head_complete
-        ):
-            self._fail_malformed()
+        self._reader.feed(data)
+        if self._reader.is_failed:
+            self.close()
+        self._wake()
 
     async def exchange(
         self, request: ClientRequest, content: Body
@@ -154,21 +130,23 @@
         Raises AnswerMissing or AnswerMalformed. Closing the connection
         cancels the request.
         """
-        self._start_exchange(request)
+        self._reader.start(request)
+        self._chunks = []
+        self._buffered_bytes = 0
         if self._is_lost:
             raise AnswerMissing
         send_task = self._writer.send(request, content)
         try:
-            while not self._is_head_complete:
+            while not self._reader.is_head_complete:
                 self._raise_if_failed()
                 await self._wait()
-            body = await self._read_body()
+            body = await self._read_body(request)
         finally:
             if send_task is not None and not send_task.done():
                 # The server responded before it read the whole request.
-                self._must_close = True
+                self._reader.must_close = True
                 send_task.cancel()
-        return ClientResponse(self._status, self._response_headers, body)
+        return ClientResponse(self._reader.status, self._reader.headers, body)
 
     async def exchange_while_flowing(
         self, request: ClientRequest, content: Body, silence_seconds: float
@@ -197,106 +175,21 @@
 
     def close(self) -> None:
         """Abort the connection, which cancels its request."""
-        self._must_close = True
+        self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
 
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header; ignore trailers, which follow the body."""
-        if not self._is_head_complete:
-            self._headers.append((name.lower(), value))
-
-    def on_headers_complete(self) -> None:
-        """Accept a response head; skip a response to another request."""
-        self._limits.record_progress()
-        status = self._parser.get_status_code()
-        headers, self._headers = tuple(self._headers), []
-        if status == _SWITCHING_PROTOCOLS:
-            raise ValueError(
-                'unexpected 101 response: no protocol upgrade was requested'
-            )
-        if self._is_complete or self._request is None:
-            raise ValueError(
-                'unexpected response after the end of the response'
-            )
-        self._is_skipping = (
-            status < _FIRST_FINAL_STATUS or not self._matches_request(headers)
-        )
-        if status >= _FIRST_FINAL_STATUS and self._is_skipping:
-            self._must_close = True
-        if self._is_skipping:
-            return
-        self._status = status
-        self._response_headers = headers
-        self._is_head_complete = True
-        is_closing = _CLOSE in split_tokens(find_header(headers, CONNECTION))
-        if is_closing or self._is_unidentified(headers):
-            self._must_close = True
-        self._read_keep_alive(find_header(headers, KEEP_ALIVE))
-        self._wake()
-
-    def on_body(self, content: bytes) -> None:
-        """Buffer a part of the body; pause reading above the limit."""
-        self._limits.record_progress()
-        if self._is_skipping:
-            return
-        if self._is_complete:
-            self._is_malformed = True
-            return
-        self._chunks.append(content)
-        self._buffered_bytes += len(content)
-        if self._buffered_bytes > _READ_HIGH_WATER_BYTES + MAX_BUFFERED_BYTES:
-            if self._transport is not None:
-                self._transport.pause_reading()
-        self._wake()
-
-    def on_message_complete(self) -> None:
-        """Mark the response as complete unless it is skipped."""
-        if self._is_skipping:
-            self._is_skipping = False
-            return
-        self._is_complete = True
-        self._wake()
-
-    def _start_exchange(self, request: ClientRequest) -> None:
-        self._request = request
-        self._chunks = []
-        self._buffered_bytes = 0
-        self._is_head_complete = False
-        self._is_complete = False
-        self._is_skipping = False
-        self._limits = ResponseLimits()
-
-    async def _read_body(self) -> Body:
-        request = self._request
-        if request is None or not has_body(request.method, self._status):
-            self._is_complete = True
-            if request is not None and request.method == 'HEAD':
-                # The parser takes the next response for the body.
-                self._must_close = True
-            self._end_exchange()
-            return WholeBody()
-        if not self._has_framing():
-            self._must_close = True
-        while not self._is_complete:
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
-                return ResponseStream(self)
-            self._raise_if_failed()
-            await self._wait()
-        content = b''.join(self._chunks)
-        self._end_exchange()
-        return WholeBody(content)
-
     async def read_streamed(self) -> bytes:
         """Return the next part of a streamed body, or nothing at its end.
 
         Raises BodyTruncated if the body breaks off.
         """
         while not self._chunks:
-            if self._is_complete:
+            if self._reader.is_complete:
                 self._end_exchange()
                 return b''
-            self._raise_if_truncated()
+            if self._reader.is_failed or self._is_lost:
+                raise BodyTruncated
             await self._wait()
         content = b''.join(self._chunks)
         self._chunks = []
@@ -305,59 +198,49 @@
             self._transport.resume_reading()
         return content
 
-    def _raise_if_truncated(self) -> None:
-        if self._is_malformed or self._is_lost:
-            raise BodyTruncated
+    async def _read_body(self, request: ClientRequest) -> Body:
+        reader = self._reader
+        if not has_body(request.method, reader.status):
+            reader.is_complete = True
+            if request.method == 'HEAD':
+                # The parser takes the next response for the body.
+                reader.must_close = True
+            self._end_exchange()
+            return WholeBody()
+        if not reader.has_framing:
+            reader.must_close = True
+        while not reader.is_complete:
+            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+                return ResponseStream(self)
+            self._raise_if_failed()
+            await self._wait()
+        content = b''.join(self._chunks)
+        self._end_exchange()
+        return WholeBody(content)
+
+    def _take_body(self, content: bytes) -> None:
+        """Buffer a part of the body; pause reading above the limit."""
+        self._chunks.append(content)
+        self._buffered_bytes += len(content)
+        if self._buffered_bytes > _READ_HIGH_WATER_BYTES + MAX_BUFFERED_BYTES:
+            if self._transport is not None:
+                self._transport.pause_reading()
 
     def _raise_if_failed(self) -> None:
-        if self._is_malformed:
+        if self._reader.is_failed:
             raise AnswerMalformed
         if self._is_lost:
             raise AnswerMissing
 
     def _end_exchange(self) -> None:
-        self._request = None
+        self._reader.end()
         self._chunks = []
-        if self._must_close or self._is_malformed:
+        if self._must_close:
             self.close()
 
-    def _has_framing(self) -> bool:
-        names = {name for name, _ in self._response_headers}
-        return CONTENT_LENGTH in names or TRANSFER_ENCODING in names
-
-    def _matches_request(self, headers: Headers) -> bool:
-        request = self._request
-        if request is None or request.echo_header is None:
-            return True
-        name, sent_value = request.echo_header
-        echoed_value = find_header(headers, name)
-        return echoed_value is None or echoed_value == sent_value
-
-    def _is_unidentified(self, headers: Headers) -> bool:
-        """Return whether a copy of the response could answer a later request.
-
-        It doesn't name its request, so it can't be told from other responses.
-        """
-        request = self._request
-        return (
-            request is not None
-            and request.echo_header is not None
-            and find_header(headers, request.echo_header[0]) is None
-        )
-
-    def _read_keep_alive(self, value: bytes | None) -> None:
-        for token in split_tokens(value):
-            name, _, seconds = token.partition(b'=')
-            if name == b'timeout' and seconds.isdigit():
-                self.keep_alive_timeout_seconds = float(seconds)
-
-    def _reject_input(self) -> None:
-        self._is_malformed = True
-        self.close()
-
-    def _fail_malformed(self) -> None:
-        self._reject_input()
-        self._wake()
+    @property
+    def _must_close(self) -> bool:
+        return self._reader.must_close or self._reader.is_failed
 
     async def _wait(self) -> None:
         self._wakeup = asyncio.get_running_loop().create_future()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -11,6 +11,7 @@
 )
 
 from wagtailline_daemon.events import EventLog, event_name
+from wagtailline_sidecar.answer_events import AnswerRejected
 from wagtailline_sidecar.gate_service import GateCallEnded
 from wagtailline_sidecar.ingress import RequestEnded
 from wagtailline_sidecar.refresh_events import (
@@ -79,6 +80,12 @@
             ['event'],
             registry=self._registry,
         )
+        self._rejected_answers = Counter(
+            'wagtailline_rejected_answers_total',
+            'Bytes of the upstream that are no expected response, by reason',
+            ['reason'],
+            registry=self._registry,
+        )
         self._occupancy = Gauge(
             'wagtailline_gate_occupancy',
             'Calls in progress and queued at the gate',
@@ -110,13 +117,12 @@
                 )
             case GateCallEnded():
                 self._observe_gate_call(event)
+            case AnswerRejected():
+                self._rejected_answers.labels(event.reason).inc()
             case RefreshEnded():
                 self._observe_refresh(event)
             case SourceReadEnded():
-                self._source_bytes.observe(event.received_bytes)
-                self._source_transfer_seconds.observe(
-                    event.transfer_ms / _MILLISECONDS_PER_SECOND
-                )
+                self._observe_reading(event)
             case _:
                 self._events_total.labels(event_name(event)).inc()
 
@@ -157,6 +163,12 @@
             registry=self._registry,
         )
 
+    def _observe_reading(self, event: SourceReadEnded) -> None:
+        self._source_bytes.observe(event.received_bytes)
+        self._source_transfer_seconds.observe(
+            event.transfer_ms / _MILLISECONDS_PER_SECOND
+        )
+
     def _observe_refresh(self, event: RefreshEnded) -> None:
         origin = ORIGIN_SOURCE if event.origin == ORIGIN_SOURCE else 'peer'
         result = 'ok' if event.outcome == OUTCOME_OK else 'failed'
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -15,6 +15,10 @@
     WholeBody,
 )
 from wagtailline.ports import Address
+from wagtailline_sidecar.answer_events import (
+    RejectionObserver,
+    ignore_rejection,
+)
 from wagtailline_sidecar.client_connection import (
     AnswerMalformed,
     AnswerMissing,
@@ -93,7 +97,8 @@
         The attribute ``observe_failure`` is called with each failure,
         ``observe_answer`` with the time at which the connection of each
         response was opened, and ``observe_notice`` with what each response
-        of a known instance says of it.
+        of a known instance says of it. ``observe_rejection`` is called with
+        each event about bytes that are not the expected response.
         """
         self._address = address
         self._names = header_names
@@ -103,6 +108,7 @@
         )
         self.observe_answer: Callable[[float], None] = _ignore_answer
         self.observe_notice: Callable[[UpstreamNotice], None] = _ignore_notice
+        self.observe_rejection: RejectionObserver = ignore_rejection
         self._idle: list[_IdleConnection] = []
         self._connections: set[ClientConnection] = set()
 
@@ -216,6 +222,7 @@
             self._address, CONNECT_TIMEOUT_SECONDS
         )
         connection.opened_at = self._clock.monotonic()
+        connection.observe_rejection = self.observe_rejection
         self._connections.add(connection)
         return connection
 
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wagtailline_sidecar.answer_events import AnswerRejected, RejectionReason
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
@@ -47,3 +48,12 @@
     assert f'{name}{{origin="source",result="ok"}} 1.0' in page
     assert f'{name}{{origin="peer",result="failed"}} 1.0' in page
     assert 'wagtailline_snapshot_age_seconds_count 2.0' in page
+
+
+def test_rejected_answers_are_counted_by_reason():
+    """Guards against copies of answers whose kind nothing tells."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.observe(AnswerRejected(RejectionReason.SURPLUS, 'one', 2))
+    page = telemetry.render().decode()
+    name = 'wagtailline_rejected_answers_total'
+    assert f'{name}{{reason="surplus"}} 1.0' in page
