Accept no unnamed response on a connection that is used again

Cause: a response without the header that names its request was accepted for whatever request waited. A second response that comes late on a kept connection and bears no name answered a later request.

Change: such a response is accepted only for the first request of a connection; later it fails the exchange at once (answer_rejected reason=unnamed), and it is unknown whether the request has run.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -50,6 +50,7 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._is_skipping = False
         self._limits = ResponseLimits()
+        self._rejection_reason = RejectionReason.MALFORMED
         self.request: ClientRequest | None = None
         self.exchanges = 0
         self.status = 0
@@ -104,13 +105,13 @@
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
         if status == _SWITCHING_PROTOCOLS:
-            raise ResponseRejected('no protocol upgrade was requested')
+            raise self._reject(RejectionReason.MALFORMED)
         if self.is_complete or self.request is None:
-            raise ResponseRejected('a response follows the end of the response')
+            raise self._reject(RejectionReason.SURPLUS)
         self._is_skipping = status < _FIRST_FINAL_STATUS
         if self._is_skipping:
             return
-        if not self._matches_request(headers):
+        if self._is_foreign(headers):
             self._skip_foreign()
             return
         self.status = status
@@ -142,39 +143,43 @@
 
     def _read_connection_options(self, headers: Headers) -> None:
         is_closing = _CLOSE in split_tokens(find_header(headers, CONNECTION))
-        if is_closing or self._is_unidentified(headers):
+        if is_closing:
             self.must_close = True
         for token in split_tokens(find_header(headers, KEEP_ALIVE)):
             name, _, seconds = token.partition(b'=')
             if name == b'timeout' and seconds.isdigit():
                 self.keep_alive_timeout_seconds = float(seconds)
 
-    def _matches_request(self, headers: Headers) -> bool:
+    def _is_foreign(self, headers: Headers) -> bool:
+        """Return whether a response names another request.
+
+        A response without a name may belong to any request that the connection
+        has carried, so only the first one is accepted.
+        """
         request = self.request
         if request is None or request.echo_header is None:
-            return True
+            return False
         name, sent_value = request.echo_header
         echoed_value = find_header(headers, name)
-        return echoed_value is None or echoed_value == sent_value
-
-    def _is_unidentified(self, headers: Headers) -> bool:
-        """Return whether a copy of the response could answer a later request.
+        if echoed_value is None:
+            # A copy of it can't be told from the response to a later request.
+            self.must_close = True
+            if self.exchanges > 1:
+                raise self._reject(RejectionReason.UNNAMED)
+            return False
+        return echoed_value != sent_value
 
-        It doesn't name its request, so it can't be told from other responses.
-        """
-        request = self.request
-        return (
-            request is not None
-            and request.echo_header is not None
-            and find_header(headers, request.echo_header[0]) is None
-        )
+    def _reject(self, reason: RejectionReason) -> ResponseRejected:
+        """Return an error to raise, which fails the reader for a reason."""
+        self._rejection_reason = reason
+        return ResponseRejected(reason)
 
     def _fail_parsing(self) -> None:
         """Fail; bytes behind a whole response don't make it malformed."""
         if self.is_complete:
             self._fail(RejectionReason.SURPLUS)
         else:
-            self._fail(RejectionReason.MALFORMED)
+            self._fail(self._rejection_reason)
 
     def _fail(self, reason: RejectionReason) -> None:
         self.is_failed = True
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
@@ -12,6 +12,7 @@
     OTHER_REQUEST = 'other_request'
     SURPLUS = 'surplus'
     UNEXPECTED = 'unexpected'
+    UNNAMED = 'unnamed'
 
 
 class AnswerRejected(NamedTuple):
--- /dev/null
+++ b/packages/wagtailline-sidecar/tests/test_answer_copies.py
@@ -0,0 +1,198 @@
+"""Tests of responses that a faulty server sends again, late or in part."""
+
+import asyncio
+from typing import NamedTuple
+
+import pytest
+from _peers import read_head, serve_script
+
+from wagtailline.calls import WholeBody
+from wagtailline_sidecar.client_connection import (
+    AnswerMalformed,
+    AnswerMissing,
+    ClientConnection,
+    ClientRequest,
+    open_connection,
+)
+
+NAME = b'x-id'
+# Turns of the event loop after which an exchange has taken what arrived.
+TURNS = 8
+SEAL = b'x-seal'
+BODY = b'the body of the second request'
+
+
+def make_request(request_id: bytes, method: str = 'GET') -> ClientRequest:
+    echo = NAME, request_id
+    return ClientRequest(method, '/', ((b'host', b'a'), echo), echo)
+
+
+def encode(
+    request_id: bytes,
+    body: bytes,
+    *,
+    status: int = 200,
+    is_named: bool = True,
+    is_chunked: bool = False,
+    is_framed: bool = True,
+    is_length_last: bool = True,
+) -> bytes:
+    """Return a response with a seal of its request and other headers."""
+    named = [b'X-Id: ' + request_id] if is_named else []
+    lines = [*named, b'X-Seal: seal.' + request_id, b'Keep-Alive: timeout=10']
+    content = body
+    if is_chunked:
+        framing = b'Transfer-Encoding: chunked'
+        content = b'%x\r\n%b\r\n0\r\n\r\n' % (len(body), body)
+    else:
+        framing = b'Content-Length: %d' % len(body)
+    if is_framed:
+        lines.insert(len(lines) if is_length_last else 0, framing)
+    head = b'HTTP/1.1 %d Phrase\r\n' % status + b'\r\n'.join(lines)
+    return head + b'\r\n\r\n' + content
+
+
+FIRST = encode(b'one', b'the body of the first request')
+OWN = encode(b'two', BODY)
+
+
+class SilentTransport(asyncio.Transport):
+    """Transport that sends nothing and remembers whether it was aborted."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_aborted = False
+
+    def write(self, content) -> None:
+        """Drop the content."""
+
+    def abort(self) -> None:
+        self.is_aborted = True
+
+    def pause_reading(self) -> None:
+        """Go on: the tests send what they like."""
+
+    def resume_reading(self) -> None:
+        """Go on."""
+
+
+class Outcome(NamedTuple):
+    """What an exchange returned at once; ``error`` is None for a response."""
+
+    error: type[Exception] | None
+    status: int = 0
+    seals: tuple[bytes, ...] = ()
+    body: bytes = b''
+
+
+class Server:
+    """Server side of a connection without sockets."""
+
+    def __init__(self) -> None:
+        self.transport = SilentTransport()
+        self.connection = ClientConnection()
+        self.connection.connection_made(self.transport)
+
+    async def begin(self, request_id: bytes, method: str = 'GET'):
+        request = make_request(request_id, method)
+        task = asyncio.ensure_future(
+            self.connection.exchange(request, WholeBody())
+        )
+        await turn()
+        return task
+
+    async def send(self, *parts: bytes) -> None:
+        for part in parts:
+            if not self.transport.is_aborted:
+                self.connection.data_received(part)
+
+    async def use(self) -> None:
+        """Carry the first request, after which the connection is kept."""
+        task = await self.begin(b'one')
+        await self.send(FIRST)
+        await turn()
+        assert task.result().status == 200
+        assert self.connection.is_reusable
+
+
+async def turn() -> None:
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+
+
+async def finish(task) -> Outcome | None:
+    """Return the outcome, or None if the exchange still waits."""
+    await turn()
+    if not task.done():
+        task.cancel()
+        await turn()
+        return None
+    error = task.exception()
+    if error is not None:
+        assert isinstance(error, AnswerMalformed | AnswerMissing)
+        return Outcome(type(error))
+    response = task.result()
+    seals = tuple(value for name, value in response.headers if name == SEAL)
+    return Outcome(None, response.status, seals, response.body.content)
+
+
+async def receive(*parts: bytes, method: str = 'GET') -> Outcome | None:
+    """Send parts to the second request on a connection."""
+    server = Server()
+    await server.use()
+    task = await server.begin(b'two', method)
+    await server.send(*parts)
+    return await finish(task)
+
+
+def is_own(outcome: Outcome) -> bool:
+    return outcome == Outcome(None, 200, (b'seal.two',), BODY)
+
+
+# Guards against the response to another caller with status 200 (MIXED).
+@pytest.mark.parametrize('status', [200, 204, 500, 503])
+@pytest.mark.parametrize('is_framed', [True, False])
+async def test_copy_without_the_name_of_its_request_is_no_answer(
+    status, is_framed
+):
+    copy = encode(
+        b'one', b'', status=status, is_named=False, is_framed=is_framed
+    )
+    assert await receive(copy, OWN) == Outcome(AnswerMalformed)
+
+
+async def test_first_response_of_a_connection_needs_no_name():
+    """Guards against the loss of all responses that name no request."""
+    server = Server()
+    task = await server.begin(b'two')
+    await server.send(encode(b'two', BODY, is_named=False))
+    assert is_own(await finish(task))
+    assert not server.connection.is_reusable
+
+
+@pytest.mark.parametrize('variant', [{}, {'is_chunked': True}])
+async def test_whole_copy_costs_nothing(variant):
+    """Guards against callers that pay for copies that can be told apart."""
+    copy = encode(b'one', b'first', status=500, **variant)
+    interim = b'HTTP/1.1 100 Continue\r\n\r\n'
+    assert is_own(await receive(copy, interim, copy + OWN))
+
+
+async def test_copy_over_sockets_is_no_answer():
+    """Guards against tests that know only a simulated transport."""
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(FIRST)
+        await read_head(reader)
+        writer.write(encode(b'one', b'first', is_named=False))
+        await reader.read()
+
+    server, address = await serve_script(script)
+    connection = await open_connection(address, 1)
+    async with asyncio.timeout(5):
+        await connection.exchange(make_request(b'one'), WholeBody())
+        with pytest.raises(AnswerMalformed):
+            await connection.exchange(make_request(b'two'), WholeBody())
+    connection.close()
+    server.close()
