Reject heads that are joined from two responses

And the first bytes of a copy that arrive together with the end of a response stayed in the parser of a connection that was used again.

Change: a status line within the first line or a field is rejected (torn), so is a head that names two requests; bytes that begin behind a whole response end the use of the connection (surplus), and the response is delivered.

Evidence: the new tests cut a copy at every byte; they failed before.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -1,5 +1,6 @@
 """Parsing of the responses on a client connection, and whose they are."""
 
+import re
 from collections.abc import Callable
 
 import httptools
@@ -24,6 +25,7 @@
 _CLOSE = b'close'
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
+_STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
 
 
 class ResponseRejected(Exception):
@@ -94,8 +96,22 @@
         ):
             self._fail(RejectionReason.MALFORMED)
 
+    def on_message_begin(self) -> None:
+        """Use the connection no more if bytes follow a whole response.
+
+        Their rest would be joined to the next response.
+        """
+        if self.is_complete:
+            self.must_close = True
+            self._report(RejectionReason.SURPLUS)
+
+    def on_status(self, phrase: bytes) -> None:
+        """Reject a head that broke off within its first line."""
+        self._reject_torn(phrase)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; ignore trailers, which follow the body."""
+        self._reject_torn(value)
         if not self.is_head_complete:
             self._headers.append((name.lower(), value))
 
@@ -125,7 +141,6 @@
         if self._is_skipping:
             return
         if self.is_complete:
-            self._fail(RejectionReason.SURPLUS)
             return
         self._take_body(content)
 
@@ -136,6 +151,14 @@
             return
         self.is_complete = True
 
+    def _reject_torn(self, field: bytes) -> None:
+        """Reject a field that a status line continues.
+
+        The head has broken off there, and that of another response follows.
+        """
+        if _STATUS_LINE.search(field) is not None:
+            raise self._reject(RejectionReason.TORN)
+
     def _skip_foreign(self) -> None:
         self._is_skipping = True
         self.must_close = True
@@ -160,14 +183,18 @@
         if request is None or request.echo_header is None:
             return False
         name, sent_value = request.echo_header
-        echoed_value = find_header(headers, name)
-        if echoed_value is None:
+        echoed_values = {
+            value for header_name, value in headers if header_name == name
+        }
+        if not echoed_values:
             # A copy of it can't be told from the response to a later request.
             self.must_close = True
             if self.exchanges > 1:
                 raise self._reject(RejectionReason.UNNAMED)
             return False
-        return echoed_value != sent_value
+        if len(echoed_values) > 1:
+            raise self._reject(RejectionReason.MALFORMED)
+        return sent_value not in echoed_values
 
     def _reject(self, reason: RejectionReason) -> ResponseRejected:
         """Return an error to raise, which fails the reader for a reason."""
@@ -175,11 +202,10 @@
         return ResponseRejected(reason)
 
     def _fail_parsing(self) -> None:
-        """Fail; bytes behind a whole response don't make it malformed."""
-        if self.is_complete:
-            self._fail(RejectionReason.SURPLUS)
-        else:
-            self._fail(self._rejection_reason)
+        """Fail; what follows a whole response has been reported."""
+        self.is_failed = True
+        if not self.is_complete:
+            self._report(self._rejection_reason)
 
     def _fail(self, reason: RejectionReason) -> None:
         self.is_failed = True
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
@@ -11,7 +11,10 @@
     MALFORMED = 'malformed'
     OTHER_REQUEST = 'other_request'
     SURPLUS = 'surplus'
+    SWALLOWED = 'swallowed'
+    TORN = 'torn'
     UNEXPECTED = 'unexpected'
+    UNFRAMED = 'unframed'
     UNNAMED = 'unnamed'
 
 
--- a/packages/wagtailline-sidecar/tests/test_answer_copies.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_copies.py
@@ -170,6 +170,70 @@
     assert not server.connection.is_reusable
 
 
+VARIANTS = (
+    {},
+    {'is_length_last': False},
+    {'is_chunked': True},
+    {'status': 503},
+    {'is_named': False, 'status': 503},
+)
+
+
+# Guards against responses joined with torn copies, and against callers that
+# wait until their deadline for bytes that a torn copy took (MIXED).
+@pytest.mark.parametrize('variant', VARIANTS)
+@pytest.mark.parametrize('body', [b'x', b'y' * 60])
+async def test_response_behind_a_torn_copy_is_whole_or_refused_at_once(
+    variant, body
+):
+    copy = encode(b'one', body, **variant)
+    for length in range(1, len(copy)):
+        outcome = await receive(copy[:length], OWN)
+        assert outcome is not None, copy[:length]
+        assert is_own(outcome) or outcome.error, copy[:length]
+
+
+# Guards against the begin of a copy that stays in the parser and is joined
+# to the next response on the connection (MIXED).
+@pytest.mark.parametrize('is_apart', [True, False])
+async def test_begin_of_a_copy_behind_a_response_ends_the_connection(is_apart):
+    for length in range(1, len(FIRST)):
+        server = Server()
+        task = await server.begin(b'one')
+        behind = FIRST[:length]
+        await server.send(*([FIRST, behind] if is_apart else [FIRST + behind]))
+        await turn()
+        assert task.result().status == 200, behind
+        assert not server.connection.is_reusable, behind
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'GET / HTTP/1.1\r\nX-Id: two\r\nHost: a\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\n\r\nhello',
+        b'one two X-Id: one',
+    ],
+)
+async def test_body_that_speaks_of_requests_is_delivered(body):
+    """Guards against bodies that are refused for what they tell."""
+    outcome = await receive(encode(b'two', body))
+    assert outcome.body == body
+
+
+async def test_header_that_names_a_protocol_is_delivered():
+    """Guards against sound responses that are taken for torn ones."""
+    via = b'Via: HTTP/1.1 proxy\r\nX-Id'
+    assert is_own(await receive(OWN.replace(b'X-Id', via)))
+
+
+@pytest.mark.parametrize('lines', [b'one\r\nX-Id: two', b'two\r\nX-Id: one'])
+async def test_response_that_names_two_requests_is_no_answer(lines):
+    """Guards against a joined response that is taken for the own one."""
+    outcome = await receive(OWN.replace(b'X-Id: two', b'X-Id: ' + lines))
+    assert outcome == Outcome(AnswerMalformed)
+
+
 @pytest.mark.parametrize('variant', [{}, {'is_chunked': True}])
 async def test_whole_copy_costs_nothing(variant):
     """Guards against callers that pay for copies that can be told apart."""
