Reject bodies that have taken another response

Cause: a torn copy took the response to the waiting request as the rest of its body or head. A torn copy of that response, which came next, named the request and was accepted, and later copies filled its length. Without it the caller waited for a response that had already been taken, as it did behind a copy that has no length.

Change: bytes of bodies, skipped or not, are searched for heads that name the waiting request or an earlier one of the connection (swallowed), and a copy that ends with its connection is rejected (unframed). Both fail the exchange at once; a streamed body is truncated.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -1,12 +1,16 @@
 """Parsing of the responses on a client connection, and whose they are."""
 
-import re
+from collections import deque
 from collections.abc import Callable
 
 import httptools
 
 from wagtailline.calls import Headers
 from wagtailline_sidecar._client_types import ClientRequest
+from wagtailline_sidecar._embedded_heads import (
+    HeadSearch,
+    contains_status_line,
+)
 from wagtailline_sidecar._response_limits import ResponseLimits
 from wagtailline_sidecar.answer_events import (
     AnswerRejected,
@@ -19,13 +23,15 @@
     KEEP_ALIVE,
     TRANSFER_ENCODING,
     find_header,
+    has_body,
     split_tokens,
 )
 
 _CLOSE = b'close'
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
-_STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
+# Requests of a connection whose copies are looked for in later bodies.
+_REMEMBERED_REQUESTS = 64
 
 
 class ResponseRejected(Exception):
@@ -53,6 +59,9 @@
         self._is_skipping = False
         self._limits = ResponseLimits()
         self._rejection_reason = RejectionReason.MALFORMED
+        self._sent_ids: deque[bytes] = deque(maxlen=_REMEMBERED_REQUESTS)
+        self._search: HeadSearch | None = None
+        self._unsearched: list[bytes] = []
         self.request: ClientRequest | None = None
         self.exchanges = 0
         self.status = 0
@@ -76,6 +85,12 @@
         self.is_complete = False
         self._is_skipping = False
         self._limits = ResponseLimits()
+        self._search = None
+        self._unsearched = []
+        if request.echo_header is not None:
+            name, sent_value = request.echo_header
+            self._sent_ids.append(sent_value)
+            self._search = HeadSearch(name, self._sent_ids)
 
     def end(self) -> None:
         """Expect nothing until the next request."""
@@ -95,6 +110,9 @@
             len(content), is_head_complete=self.is_head_complete
         ):
             self._fail(RejectionReason.MALFORMED)
+        elif self._has_embedded_head():
+            self.is_complete = False
+            self._fail(RejectionReason.SWALLOWED)
 
     def on_message_begin(self) -> None:
         """Use the connection no more if bytes follow a whole response.
@@ -128,7 +146,9 @@
         if self._is_skipping:
             return
         if self._is_foreign(headers):
-            self._skip_foreign()
+            self._skip_foreign(
+                has_end=_has_framing(headers) or not has_body('GET', status)
+            )
             return
         self.status = status
         self.headers = headers
@@ -138,11 +158,12 @@
     def on_body(self, content: bytes) -> None:
         """Pass on a part of the body unless it is skipped."""
         self._limits.record_progress()
-        if self._is_skipping:
-            return
         if self.is_complete:
             return
-        self._take_body(content)
+        if self._search is not None:
+            self._unsearched.append(content)
+        if not self._is_skipping:
+            self._take_body(content)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete unless it is skipped."""
@@ -156,14 +177,29 @@
 
         The head has broken off there, and that of another response follows.
         """
-        if _STATUS_LINE.search(field) is not None:
+        if contains_status_line(field):
             raise self._reject(RejectionReason.TORN)
 
-    def _skip_foreign(self) -> None:
+    def _skip_foreign(self, *, has_end: bool) -> None:
         self._is_skipping = True
         self.must_close = True
+        if not has_end:
+            # It ends with the connection, so no other response can follow.
+            raise self._reject(RejectionReason.UNFRAMED)
         self._report(RejectionReason.OTHER_REQUEST)
 
+    def _has_embedded_head(self) -> bool:
+        """Return whether the parts of a body that arrived contain a response.
+
+        What the body is then is unknown: its own end is missing, and it has
+        taken bytes of other responses.
+        """
+        if self._search is None or not self._unsearched:
+            return False
+        content = b''.join(self._unsearched)
+        self._unsearched = []
+        return self._search.find(content)
+
     def _read_connection_options(self, headers: Headers) -> None:
         is_closing = _CLOSE in split_tokens(find_header(headers, CONNECTION))
         if is_closing:
--- a/packages/wagtailline-sidecar/tests/test_answer_copies.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_copies.py
@@ -1,13 +1,15 @@
 """Tests of responses that a faulty server sends again, late or in part."""
 
 import asyncio
+from itertools import chain
 from typing import NamedTuple
 
 import pytest
 from _peers import read_head, serve_script
 
-from wagtailline.calls import WholeBody
+from wagtailline.calls import BodyTruncated, WholeBody
 from wagtailline_sidecar.client_connection import (
+    MAX_BUFFERED_BYTES,
     AnswerMalformed,
     AnswerMissing,
     ClientConnection,
@@ -176,13 +178,14 @@
     {'is_chunked': True},
     {'status': 503},
     {'is_named': False, 'status': 503},
+    {'is_framed': False},
 )
 
 
 # Guards against responses joined with torn copies, and against callers that
 # wait until their deadline for bytes that a torn copy took (MIXED).
 @pytest.mark.parametrize('variant', VARIANTS)
-@pytest.mark.parametrize('body', [b'x', b'y' * 60])
+@pytest.mark.parametrize('body', [b'x', b'y' * 60, b'z' * 1000])
 async def test_response_behind_a_torn_copy_is_whole_or_refused_at_once(
     variant, body
 ):
@@ -193,6 +196,19 @@
         assert is_own(outcome) or outcome.error, copy[:length]
 
 
+# Guards against a torn copy that takes the response, and a torn copy of that
+# response which later bytes complete: right seal, other body (MIXED).
+@pytest.mark.parametrize('body', [b'', b'y' * 60, b'z' * 217])
+async def test_torn_copies_one_after_the_other_make_no_answer(body):
+    copy = encode(b'one', body)
+    for length in range(1, len(copy), 3):
+        for own_length in chain(range(1, len(OWN), 7), [len(OWN) - 1]):
+            parts = copy[:length], OWN, OWN[:own_length], copy, copy
+            outcome = await receive(*parts)
+            assert outcome is not None, parts
+            assert is_own(outcome) or outcome.error, parts
+
+
 # Guards against the begin of a copy that stays in the parser and is joined
 # to the next response on the connection (MIXED).
 @pytest.mark.parametrize('is_apart', [True, False])
@@ -207,6 +223,32 @@
         assert not server.connection.is_reusable, behind
 
 
+# Guards against a body of the right length with bytes of another (MIXED).
+@pytest.mark.parametrize('length', [len(OWN) - len(BODY), len(OWN) - 3])
+@pytest.mark.parametrize('copy', [FIRST, OWN])
+async def test_copy_within_a_body_makes_no_answer(copy, length):
+    torn = OWN.replace(b'Length: 30', b'Length: 160')
+    assert len(torn) == len(OWN) + 1
+    outcome = await receive(torn[: length + 1], copy, copy, copy)
+    assert outcome == Outcome(AnswerMalformed)
+
+
+async def test_copy_within_a_streamed_body_truncates_it():
+    """Guards against a large body that looks whole with other bytes in it."""
+    half = b'x' * MAX_BUFFERED_BYTES
+    large = encode(b'two', half + half)
+    server = Server()
+    await server.use()
+    task = await server.begin(b'two')
+    await server.send(large[: MAX_BUFFERED_BYTES + 1000])
+    await turn()
+    body = task.result().body
+    await server.send(FIRST, half, half)
+    with pytest.raises(BodyTruncated):
+        async for _ in body:
+            await turn()
+
+
 @pytest.mark.parametrize(
     'body',
     [
@@ -227,6 +269,13 @@
     assert is_own(await receive(OWN.replace(b'X-Id', via)))
 
 
+# Guards against callers that wait until their deadline behind a copy that
+# ends with its connection.
+async def test_copy_without_a_length_fails_the_exchange_at_once():
+    copy = encode(b'one', b'hello', is_framed=False)
+    assert await receive(copy) == Outcome(AnswerMalformed)
+
+
 @pytest.mark.parametrize('lines', [b'one\r\nX-Id: two', b'two\r\nX-Id: one'])
 async def test_response_that_names_two_requests_is_no_answer(lines):
     """Guards against a joined response that is taken for the own one."""
@@ -235,9 +284,12 @@
 
 
 @pytest.mark.parametrize('variant', [{}, {'is_chunked': True}])
-async def test_whole_copy_costs_nothing(variant):
+@pytest.mark.parametrize('status', [500, 204])
+async def test_whole_copy_costs_nothing(variant, status):
     """Guards against callers that pay for copies that can be told apart."""
     copy = encode(b'one', b'first', status=500, **variant)
+    if status == 204:
+        copy = encode(b'one', b'', status=204, is_framed=False)
     interim = b'HTTP/1.1 100 Continue\r\n\r\n'
     assert is_own(await receive(copy, interim, copy + OWN))
 
