Let connections to a stuttering upstream rest between two requests

Cause: a late copy finds a later request on the connection on which it comes.

Change: an upstream that sent surplus, unexpected, unnamed, torn or other bytes that belong to no request is remembered for 5 s after the last sighting. Until then a connection is used again only after it was idle for 1 s, and 4 of them are kept; the others are closed after one request. Whole copies that name their request are skipped as before and cause no new connections; nor does a sound upstream. stutter_started and stutter_ended tell of it. The pool moves to a module of its own.

The test of answer_rejected waits for events instead of a time: it failed once under load, as the copy came together with the response.

Evidence: tests of rests, of their end, of sound upstreams and of the doubt about a restart, which resting connections don't cause.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -54,7 +54,7 @@
     upstream.observe_failure = local.note_connection_failure
     upstream.observe_answer = local.note_answer
     upstream.observe_notice = local.apply_notice
-    upstream.observe_rejection = observe
+    upstream.observe_events(observe)
     core.snapshots.subscribe(local.apply_snapshot)
     peers = _build_peers(core)
     uplink = Uplink(core.clock, _link_rate(settings))
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/answer_events.py
@@ -30,8 +30,23 @@
     exchanges: int
 
 
+class StutterStarted(NamedTuple):
+    """Event: connections rest, as an upstream sends responses again.
+
+    ``reason`` is that of the first rejection.
+    """
+
+    reason: str
+
+
+class StutterEnded(NamedTuple):
+    """Event: nothing was rejected lately, and connections rest no longer."""
+
+
 RejectionObserver = Callable[[AnswerRejected], None]
+AnswerEvent = AnswerRejected | StutterStarted | StutterEnded
+AnswerObserver = Callable[[AnswerEvent], None]
 
 
-def ignore_rejection(event: AnswerRejected) -> None:
-    """Ignore a rejection; the default if no observer is set."""
+def ignore_event(event: AnswerEvent) -> None:
+    """Ignore an event; the default if no observer is set."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -19,7 +19,7 @@
 from wagtailline_sidecar._response_stream import ResponseStream
 from wagtailline_sidecar.answer_events import (
     RejectionObserver,
-    ignore_rejection,
+    ignore_event,
 )
 from wagtailline_sidecar.http_messages import has_body
 
@@ -62,7 +62,7 @@
         self._writer = RequestWriter(self.close)
         self._on_data: Callable[[], None] | None = None
         self.on_idle_lost: Callable[[], None] | None = None
-        self.observe_rejection: RejectionObserver = ignore_rejection
+        self.observe_rejection: RejectionObserver = ignore_event
         self.first_byte_at: float | None = None
         self.opened_at = float('-inf')
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -15,10 +15,8 @@
     WholeBody,
 )
 from wagtailline.ports import Address
-from wagtailline_sidecar.answer_events import (
-    RejectionObserver,
-    ignore_rejection,
-)
+from wagtailline_sidecar._connection_pool import ConnectionPool
+from wagtailline_sidecar.answer_events import AnswerObserver
 from wagtailline_sidecar.client_connection import (
     AnswerMalformed,
     AnswerMissing,
@@ -32,15 +30,10 @@
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.http_messages import drop_headers, find_header
+from wagtailline_sidecar.stutter_memory import StutterMemory
 from wagtailline_sidecar.upstream_notices import UpstreamNotice, read_notice
 
 CONNECT_TIMEOUT_SECONDS = 0.5
-# Connections that were idle for longer are not reused, unless the upstream
-# has announced its own limit.
-IDLE_LIMIT_SECONDS = 4.0
-# Time before the idle limit of the upstream at which a connection is closed,
-# so that no request is sent while the upstream closes it.
-_IDLE_MARGIN_SECONDS = 1.0
 _MISDIRECTED_REQUEST = 421
 _SUCCESS_STATUSES = range(200, 300)
 _MILLISECONDS_PER_SECOND = 1000
@@ -66,11 +59,6 @@
     warm_up_seconds: float
 
 
-class _IdleConnection(NamedTuple):
-    connection: ClientConnection
-    idle_since: float
-
-
 def _ignore_answer(opened_at: float) -> None:
     """Ignore a response; the default if no observer is set."""
 
@@ -97,9 +85,7 @@
         The attribute ``observe_failure`` is called with each failure,
         ``observe_answer`` with the time at which the connection of each
         response was opened, and ``observe_notice`` with what each response
-        of a known instance says of it. ``observe_rejection`` is called with
-        each event about bytes that are not the expected response.
-        """
+        of a known instance says of it."""
         self._address = address
         self._names = header_names
         self._clock = clock
@@ -108,9 +94,14 @@
         )
         self.observe_answer: Callable[[float], None] = _ignore_answer
         self.observe_notice: Callable[[UpstreamNotice], None] = _ignore_notice
-        self.observe_rejection: RejectionObserver = ignore_rejection
-        self._idle: list[_IdleConnection] = []
-        self._connections: set[ClientConnection] = set()
+        self._stutter = StutterMemory(clock)
+        self._pool = ConnectionPool(
+            clock, self._open_connection, self._note_loss, self._stutter
+        )
+
+    def observe_events(self, observe: AnswerObserver) -> None:
+        """Call ``observe`` with events about rejected bytes."""
+        self._stutter.observe = observe
 
     async def run(
         self, request: CallRequest, body: Body, seconds: float
@@ -176,66 +167,35 @@
 
     def close_idle(self) -> None:
         """Close idle connections, as the upstream may have been replaced."""
-        idle, self._idle = self._idle, []
-        for idle_connection in idle:
-            idle_connection.connection.close()
+        self._pool.close_idle()
 
     async def _exchange(
         self, request: ClientRequest, body: Body
     ) -> ClientResponse:
-        connection = await self._connect()
+        connection = await self._pool.acquire()
         try:
             answer = await connection.exchange(request, body)
         except BaseException:
             connection.close()
             raise
         self.observe_answer(connection.opened_at)
-        if connection.is_reusable:
-            now = self._clock.monotonic()
-            self._idle.append(_IdleConnection(connection, now))
-            connection.on_idle_lost = self._note_idle_loss
+        self._pool.release(connection)
         return answer
 
-    def _note_idle_loss(self) -> None:
-        """Report that the upstream ended a connection that was not in use.
-
-        It announces how long idle connections stay open, and those are closed
-        here before; so it may have restarted.
-        """
-        self.observe_failure(ConnectionFailure(is_refused=False))
-
-    async def _connect(self) -> ClientConnection:
-        now = self._clock.monotonic()
-        while self._idle:
-            idle_connection = self._idle.pop()
-            limit = idle_connection.connection.keep_alive_timeout_seconds
-            if limit is None:
-                limit = IDLE_LIMIT_SECONDS + _IDLE_MARGIN_SECONDS
-            is_fresh = (
-                now - idle_connection.idle_since < limit - _IDLE_MARGIN_SECONDS
-            )
-            if is_fresh and idle_connection.connection.is_reusable:
-                return idle_connection.connection
-            idle_connection.connection.close()
-        self._note_gap()
+    async def _open_connection(self) -> ClientConnection:
         connection = await open_connection(
             self._address, CONNECT_TIMEOUT_SECONDS
         )
-        connection.opened_at = self._clock.monotonic()
-        connection.observe_rejection = self.observe_rejection
-        self._connections.add(connection)
+        connection.observe_rejection = self._stutter.record
         return connection
 
-    def _note_gap(self) -> None:
-        """Report that no connection is open.
+    def _note_loss(self) -> None:
+        """Report that the upstream may have restarted.
 
-        The upstream may have restarted since the last one was.
+        It announces how long idle connections stay open, and those are closed
+        here before it ends them.
         """
-        self._connections = {
-            connection for connection in self._connections if connection.is_open
-        }
-        if not self._connections:
-            self.observe_failure(ConnectionFailure(is_refused=False))
+        self.observe_failure(ConnectionFailure(is_refused=False))
 
     def _request_headers(self, request: CallRequest, seconds: float) -> Headers:
         names = self._names
--- a/packages/wagtailline-sidecar/tests/test_answer_events.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_events.py
@@ -32,40 +32,54 @@
     )
 
 
-async def collect_rejections(*parts: bytes) -> list[AnswerRejected]:
-    """Return the events while the second response of a connection arrives."""
+async def collect_rejections(
+    content: bytes, late: bytes
+) -> list[AnswerRejected]:
+    """Return the events about the second response of a connection.
+
+    The upstream sends ``late`` once the response has been taken.
+    """
 
     async def script(reader, writer):
         await read_head(reader)
         writer.write(COPY)
         await read_head(reader)
-        for part in parts:
-            writer.write(part)
-            await asyncio.sleep(0.01)
-        writer.close()
+        writer.write(content)
+        await answered.wait()
+        writer.write(late)
+        await reader.read()
+
+    def observe(event) -> None:
+        if isinstance(event, AnswerRejected):
+            events.append(event)
+            rejected.set()
 
     events: list[AnswerRejected] = []
+    answered, rejected = asyncio.Event(), asyncio.Event()
     server, address = await serve_script(script)
     upstream = Upstream(address, NAMES, BootClock())
-    upstream.observe_rejection = events.append
+    upstream.observe_events(observe)
     async with asyncio.timeout(5):
         await upstream.run(make_request(b'one'), WholeBody(), 0.5)
         await upstream.run(make_request(b'two'), WholeBody(), 0.5)
-        await asyncio.sleep(0.03)
+        answered.set()
+        await rejected.wait()
     server.close()
     return events
 
 
 @pytest.mark.parametrize(
-    ('parts', 'reason', 'request_id'),
+    ('content', 'late', 'reason', 'request_id'),
     [
-        ((COPY, OWN), 'other_request', 'two'),
-        ((b'no answer',), 'malformed', 'two'),
-        ((OWN, COPY), 'unexpected', ''),
-        ((OWN + COPY,), 'surplus', 'two'),
+        (COPY + OWN, b'', 'other_request', 'two'),
+        (b'no answer', b'', 'malformed', 'two'),
+        (OWN, COPY, 'unexpected', ''),
+        (OWN + COPY, b'', 'surplus', 'two'),
     ],
 )
-async def test_event_tells_why_bytes_are_no_answer(parts, reason, request_id):
+async def test_event_tells_why_bytes_are_no_answer(
+    content, late, reason, request_id
+):
     """Guards against copies, garbage and surplus that logs don't tell apart."""
-    events = await collect_rejections(*parts)
+    events = await collect_rejections(content, late)
     assert events == [AnswerRejected(reason, request_id, 2)]
