Give each health check a connection of its own

Cause: checks shared the pool, and the response to one names no request of ours.

Change: a check opens a connection and closes it. Before, a check cost one of the idle connections, as unnamed responses close theirs.

Evidence: the new test failed before: the check went over the connection of a request.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -143,12 +143,9 @@
     async def check_health(self, path: str) -> HealthReport | None:
         """Return the result of a health check, or None without a response."""
         host = f'{self._address.host}:{self._address.port}'.encode()
-        request_id = self._names.request_id, b'health'
-        request = ClientRequest(
-            'GET', path, ((b'host', host),), echo_header=request_id
-        )
+        request = ClientRequest('GET', path, ((b'host', host),))
         try:
-            answer = await self._exchange(request, WholeBody())
+            answer = await self._exchange(request, WholeBody(), is_alone=True)
         except (ConnectionFailed, AnswerMissing, AnswerMalformed):
             return None
         await _discard_body(answer)
@@ -170,16 +167,27 @@
         self._pool.close_idle()
 
     async def _exchange(
-        self, request: ClientRequest, body: Body
+        self, request: ClientRequest, body: Body, *, is_alone: bool = False
     ) -> ClientResponse:
-        connection = await self._pool.acquire()
+        """Return the response to a request.
+
+        One that is alone gets a connection of its own, as its response names
+        no request.
+        """
+        if is_alone:
+            connection = await self._pool.open()
+        else:
+            connection = await self._pool.acquire()
         try:
             answer = await connection.exchange(request, body)
         except BaseException:
             connection.close()
             raise
         self.observe_answer(connection.opened_at)
-        self._pool.release(connection)
+        if is_alone:
+            connection.close()
+        else:
+            self._pool.release(connection)
         return answer
 
     async def _open_connection(self) -> ClientConnection:
--- a/packages/wagtailline-sidecar/tests/test_stuttering_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_stuttering_upstream.py
@@ -137,3 +137,12 @@
     for number in range(2 * MAX_RESTING):
         await server.ask(b'%d' % number)
     assert not server.failures
+
+
+# Guards against an old health report in the place of a new one.
+async def test_health_checks_share_no_connection(server):
+    await server.ask(b'one')
+    await server.upstream.check_health('/health')
+    await server.upstream.check_health('/health')
+    await server.ask(b'two')
+    assert server.uses == [1, 2, 3, 1]
