Send a request again on another connection than before

Cause: after a refusal a request may come again to the same upstream, with the same id.

Change: the pool leaves out connections that have carried the request lately.

No run of real daemons showed the fault.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_connection_pool.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_connection_pool.py
@@ -51,9 +51,13 @@
         self._idle: list[_IdleConnection] = []
         self._connections: set[ClientConnection] = set()
 
-    async def acquire(self) -> ClientConnection:
-        """Return an idle connection, or a new one; raise ConnectionFailed."""
-        connection = self._take_idle()
+    async def acquire(self, request_id: bytes) -> ClientConnection:
+        """Return an idle connection, or a new one; raise ConnectionFailed.
+
+        An idle one has not carried an earlier attempt at the same request,
+        whose response could not be told from the new one.
+        """
+        connection = self._take_idle(request_id)
         return connection or await self.open()
 
     async def open(self) -> ClientConnection:
@@ -85,13 +89,16 @@
         for idle_connection in idle:
             idle_connection.connection.close()
 
-    def _take_idle(self) -> ClientConnection | None:
+    def _take_idle(self, request_id: bytes) -> ClientConnection | None:
         """Return the connection that was idle for the shortest time, if any."""
         now = self._clock.monotonic()
         self._idle = [idle for idle in self._idle if _keep(idle, now)]
         rest_seconds = REST_SECONDS if self._stutter.is_active else 0
         rested = [
-            idle for idle in self._idle if now - idle.idle_since >= rest_seconds
+            idle
+            for idle in self._idle
+            if now - idle.idle_since >= rest_seconds
+            and not idle.connection.has_sent(request_id)
         ]
         if not rested:
             return None
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -30,7 +30,7 @@
 _CLOSE = b'close'
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
-# Requests of a connection whose copies are looked for in later bodies.
+# Latest requests of a connection whose copies are expected.
 _REMEMBERED_REQUESTS = 64
 
 
@@ -77,6 +77,10 @@
         """Return whether the end of the body doesn't need the connection's."""
         return _has_framing(self.headers)
 
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return whether one of the latest requests had this id."""
+        return request_id in self._sent_ids
+
     def start(self, request: ClientRequest) -> None:
         """Expect the response to a request."""
         self.request = request
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -81,6 +81,10 @@
         """Return how long the server keeps the idle connection, if known."""
         return self._reader.keep_alive_timeout_seconds
 
+    def has_sent(self, request_id: bytes) -> bool:
+        """Return whether one of the latest requests had this id."""
+        return self._reader.has_carried(request_id)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -174,10 +174,11 @@
         One that is alone gets a connection of its own, as its response names
         no request.
         """
+        _, request_id = request.echo_header or (b'', b'')
         if is_alone:
             connection = await self._pool.open()
         else:
-            connection = await self._pool.acquire()
+            connection = await self._pool.acquire(request_id)
         try:
             answer = await connection.exchange(request, body)
         except BaseException:
--- a/packages/wagtailline-sidecar/tests/_simulated_server.py
+++ b/packages/wagtailline-sidecar/tests/_simulated_server.py
@@ -67,6 +67,10 @@
     def is_reusable(self) -> bool:
         return self.is_open and not self.is_busy
 
+    def has_sent(self, request_id: bytes) -> bool:
+        """Return False: all requests of the simulation are different ones."""
+        return False
+
     async def exchange(self, request, body) -> ClientResponse:
         self.is_busy = True
         if request.target != '/health':
--- a/packages/wagtailline-sidecar/tests/test_stuttering_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_stuttering_upstream.py
@@ -146,3 +146,12 @@
     await server.upstream.check_health('/health')
     await server.ask(b'two')
     assert server.uses == [1, 2, 3, 1]
+
+
+# Guards against the copy of a refusal that answers the same request when it is
+# sent again and runs (REFUSED).
+async def test_request_that_is_sent_again_gets_another_connection(server):
+    await server.ask(b'one')
+    await server.ask(b'two')
+    await server.ask(b'one')
+    assert server.uses == [1, 1, 2]
