--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -11,6 +11,7 @@
 )
 
 from wagtailline_daemon.events import EventLog, event_name
+from wagtailline_sidecar.answer_events import AnswerRejected
 from wagtailline_sidecar.gate_service import GateCallEnded
 from wagtailline_sidecar.ingress import RequestEnded
 from wagtailline_sidecar.refresh_events import (
@@ -80,6 +81,12 @@
             ['event'],
             registry=self._registry,
         )
+        self._rejected_answers = Counter(
+            'wagtailline_rejected_answers_total',
+            'Bytes of the upstream that are no expected response, by reason',
+            ['reason'],
+            registry=self._registry,
+        )
         self._occupancy = Gauge(
             'wagtailline_gate_occupancy',
             'Calls in progress and queued at the gate',
@@ -115,6 +122,8 @@
                 self._retries.labels(
                     event.service, event.cause, event.decision
                 ).inc()
+            case AnswerRejected():
+                self._rejected_answers.labels(event.reason).inc()
             case RefreshEnded():
                 self._observe_refresh(event)
             case SourceReadEnded():
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wagtailline_sidecar.answer_events import AnswerRejected, RejectionReason
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
@@ -61,3 +62,12 @@
     name = 'wagtailline_retries_total'
     labels = 'cause="500",decision="denied",service="desk"'
     assert f'{name}{{{labels}}} 2.0' in page
+
+
+def test_rejected_answers_are_counted_by_reason():
+    """Guards against copies of answers whose kind nothing tells."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.observe(AnswerRejected(RejectionReason.SURPLUS, 'one', 2))
+    page = telemetry.render().decode()
+    name = 'wagtailline_rejected_answers_total'
+    assert f'{name}{{reason="surplus"}} 1.0' in page
