Update the indexes of keys and routes by one function

Both did the same with other types: take out what the changed objects had been, then put in what they are. The order matters, as a new object may have the key of a removed one; it is now said and done once.

--- a/packages/wagtailline/src/wagtailline/_indexes.py
+++ b/packages/wagtailline/src/wagtailline/_indexes.py
@@ -1,6 +1,7 @@
 """Indexes of a snapshot, updated incrementally between versions."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
+from operator import attrgetter
 from typing import NamedTuple, TypeVar
 
 from wagtailline.checks import SetFault, UniqueValues, check_object, check_set
@@ -47,9 +48,19 @@
         by_kind.setdefault(object_id[0], []).append(object_id)
     keys, routes, endpoints = indexes
     if 'keys' in by_kind:
-        keys = _update_keys(keys, by_kind['keys'], previous, objects)
+        keys = _update_index(
+            keys,
+            _select(previous, by_kind['keys'], Key),
+            _select(objects, by_kind['keys'], Key),
+            attrgetter('digest'),
+        )
     if 'routes' in by_kind:
-        routes = _update_routes(routes, by_kind['routes'], previous, objects)
+        routes = _update_index(
+            routes,
+            _select(previous, by_kind['routes'], Route),
+            _select(objects, by_kind['routes'], Route),
+            attrgetter('prefix'),
+        )
     if 'endpoints' in by_kind:
         endpoints = _update_endpoints(
             endpoints, by_kind['endpoints'], previous, objects
@@ -111,31 +122,21 @@
     return unique_values
 
 
-def _update_keys(
-    keys: Mapping[str, Key],
-    changed: Collection[ObjectId],
-    previous: ObjectMap,
-    objects: ObjectMap,
-) -> Mapping[str, Key]:
-    updated = dict(keys)
-    for old in _select(previous, changed, Key):
-        updated.pop(old.digest, None)
-    for new in _select(objects, changed, Key):
-        updated[new.digest] = new
-    return updated
+def _update_index(
+    index: Mapping[str, _ObjectT],
+    removed: Iterable[_ObjectT],
+    added: Iterable[_ObjectT],
+    key_of: Callable[[_ObjectT], str],
+) -> Mapping[str, _ObjectT]:
+    """Return an index of single objects after a change.
 
-
-def _update_routes(
-    routes: Mapping[str, Route],
-    changed: Collection[ObjectId],
-    previous: ObjectMap,
-    objects: ObjectMap,
-) -> Mapping[str, Route]:
-    updated = dict(routes)
-    for old in _select(previous, changed, Route):
-        updated.pop(old.prefix, None)
-    for new in _select(objects, changed, Route):
-        updated[new.prefix] = new
+    All objects are removed first, as another one may have got their key.
+    """
+    updated = dict(index)
+    for old in removed:
+        updated.pop(key_of(old), None)
+    for new in added:
+        updated[key_of(new)] = new
     return updated
 
 
