Use the library's first message on a connection in wagtaild

wagtaild built the same Hello from the same fields of its member as the peer links do, so a new field would have had to be added twice. peers.make_hello is public now. Behaviour is the same (test_peers, the call path of the daemon and the whole path pass).

--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_calls.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_calls.py
@@ -5,7 +5,8 @@
 from wagtailline.admission import Gate, GateIdentity
 from wagtailline.calls import CallClient, CallHandler, CallServer
 from wagtailline.executions import ExecutionRecords, Ownership
-from wagtailline.messages import PROTOCOL_VERSION, PURPOSE_CALLS, Hello
+from wagtailline.messages import PURPOSE_CALLS
+from wagtailline.peers import make_hello
 from wagtailline.ports import Address
 from wagtailline.routing import Handlers, LocalEndpoint, Router
 from wagtailline.streams import MAX_CALL_FRAME_BYTES, StreamTransport
@@ -54,7 +55,7 @@
     local_handler = core.tracing.wrap('gate', service)
     server = CallServer(
         local_handler,
-        _make_hello(core),
+        make_hello(core.member, PURPOSE_CALLS),
         lambda error: core.events.error(CallFailed(repr(error))),
     )
     control.links.serve_purpose(
@@ -108,7 +109,9 @@
     transport = StreamTransport(
         core.codec, max_frame_bytes=MAX_CALL_FRAME_BYTES
     )
-    client = CallClient(transport, _make_hello(core), find_address)
+    client = CallClient(
+        transport, make_hello(core.member, PURPOSE_CALLS), find_address
+    )
     position = LocalEndpoint(core.settings.endpoint, core.settings.data_centre)
     return Router(
         core.store,
@@ -117,15 +120,3 @@
         core.clock,
         core.random,
     )
-
-
-def _make_hello(core: CoreServices) -> Hello:
-    member = core.member
-    return Hello(
-        PROTOCOL_VERSION,
-        member.vm,
-        member.endpoint,
-        member.data_centre,
-        member.incarnation,
-        PURPOSE_CALLS,
-    )
--- a/packages/wagtailline/src/wagtailline/peers.py
+++ b/packages/wagtailline/src/wagtailline/peers.py
@@ -49,6 +49,7 @@
     'PeerTimedOut',
     'PeerUnknown',
     'PeerUnreachable',
+    'make_hello',
 )
 
 _Reply = TypeVar('_Reply')
