--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
@@ -9,6 +9,7 @@
 
 from wagtailline.codec import FrameFault
 from wagtailline_daemon.events import open_event_log
+from wagtailline_sidecar.body_memory import LIMIT_BYTES, BodyMemory
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.daemon_events import FrameRejected, HandlerFailed
 from wagtailline_sidecar.header_names import HeaderNames
@@ -34,6 +35,7 @@
     telemetry: Telemetry
     snapshots: SnapshotStore
     incarnation: int
+    memory: BodyMemory
 
     @property
     def settings(self) -> SidecarSettings:
@@ -84,4 +86,11 @@
         telemetry,
         SnapshotStore(clock, telemetry.observe),
         int(time.time() * _MILLISECONDS_PER_SECOND),
+        _build_memory(clock, telemetry),
     )
+
+
+def _build_memory(clock: BootClock, telemetry: Telemetry) -> BodyMemory:
+    memory = BodyMemory(clock, LIMIT_BYTES, telemetry.observe)
+    telemetry.show_held_bytes(lambda: memory.held_bytes)
+    return memory
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -45,6 +45,7 @@
     gate = Gate(core.clock, warm_up, RateLimit(core.clock, observe))
     address = parse_address(settings.upstream)
     upstream = Upstream(address, core.names, core.clock)
+    upstream.memory = core.memory
     local = LocalUpstream(
         address,
         settings.data_centre,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -107,6 +107,7 @@
         Splitter(core.random),
         _build_forwarder(core, peers, quota_services),
     )
+    dependencies.forwarder.memory = core.memory
     handler = Ingress(
         dependencies,
         core.names,
@@ -115,6 +116,7 @@
         core.random,
         core.telemetry.observe,
     )
+    handler.memory = core.memory
 
     def limits() -> IngressLimits:
         snapshot = core.snapshots.current
@@ -126,6 +128,7 @@
         core.report_error,
         limits,
         Turns(core.telemetry.observe_start_delay),
+        core.memory,
     )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -11,6 +11,11 @@
     WholeBody,
     close_body,
 )
+from wagtailline_sidecar.body_memory import (
+    MAX_PART_BYTES,
+    BodyBuffer,
+    make_unlimited_memory,
+)
 from wagtailline_sidecar.http_messages import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -31,16 +36,21 @@
     """
 
     def __init__(
-        self, pause: Callable[[], None], resume: Callable[[], None]
+        self,
+        pause: Callable[[], None],
+        resume: Callable[[], None],
+        buffer: BodyBuffer | None = None,
     ) -> None:
         """Create an empty body.
 
-        ``pause`` and ``resume`` control reading from the connection.
+        ``pause`` and ``resume`` control reading from the connection. Parts
+        that have arrived are held in ``buffer``.
         """
         self._pause = pause
         self._resume = resume
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffer = buffer or BodyBuffer(
+            make_unlimited_memory(), BODY_HIGH_WATER_BYTES, self.fail
+        )
         self._wakeup: asyncio.Future[None] | None = None
         self._is_truncated = False
         self.is_complete = False
@@ -48,10 +58,9 @@
 
     def feed(self, content: bytes) -> None:
         """Buffer a part; pause reading above the high-water mark."""
-        self._chunks.append(content)
         self.received_bytes += len(content)
-        self._buffered_bytes += len(content)
-        if self._buffered_bytes > BODY_HIGH_WATER_BYTES:
+        self._buffer.append(content)
+        if self._buffer.is_full:
             self._pause()
         self._wake()
 
@@ -70,20 +79,24 @@
         return self
 
     async def __anext__(self) -> bytes:
-        """Return all buffered bytes; wait if there are none."""
-        while not self._chunks:
+        """Return the next buffered bytes; wait if there are none."""
+        while not self._buffer:
             if self.is_complete:
+                self.discard()
                 raise StopAsyncIteration
             if self._is_truncated:
                 raise BodyTruncated
             self._wakeup = asyncio.get_running_loop().create_future()
             await self._wakeup
-        content = b''.join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
-        self._resume()
+        content = self._buffer.take()
+        if not self._buffer.is_full:
+            self._resume()
         return content
 
+    def discard(self) -> None:
+        """Hold nothing more, as the request has ended."""
+        self._buffer.clear()
+
     def _wake(self) -> None:
         if self._wakeup is not None and not self._wakeup.done():
             self._wakeup.set_result(None)
@@ -153,7 +166,10 @@
         framing = [(CONTENT_LENGTH, b'%d' % len(content))]
         head = encode_response(status, self._add_framing(headers, framing))
         payload = content if has_body(self._method, status) else b''
-        await self._connection.write(head + payload)
+        await self._connection.write(head + payload[:MAX_PART_BYTES])
+        for start in range(MAX_PART_BYTES, len(payload), MAX_PART_BYTES):
+            part = payload[start : start + MAX_PART_BYTES]
+            await self._connection.write(part)
 
     async def stream(self, status: int, headers: Headers, body: Body) -> None:
         """Write a response as its body arrives, and close the body.
@@ -205,9 +221,16 @@
             framing.append((CONNECTION, b'close'))
         return (*headers, *framing)
 
-    async def _run_handler(self, handler_call: Any) -> None:
+    async def _handle(self, handler_call: Any) -> None:
         try:
             await handler_call
+        finally:
+            if self._body is not None:
+                self._body.discard()
+
+    async def _run_handler(self, handler_call: Any) -> None:
+        try:
+            await self._handle(handler_call)
         except asyncio.CancelledError:
             return
         except Exception as error:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_stream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_stream.py
@@ -12,8 +12,8 @@
     async def read_streamed(self) -> bytes:
         """Return the next part of the body, or nothing at its end."""
 
-    def close(self) -> None:
-        """Close the connection."""
+    def discard(self) -> None:
+        """Close the connection and discard what it holds of the body."""
 
 
 class ResponseStream:
@@ -55,7 +55,7 @@
         """Close the connection unless the body has ended."""
         if not self._is_ended:
             self._is_ended = True
-            self._source.close()
+            self._source.discard()
 
     async def _read_in_time(self) -> bytes:
         if self._ends_at is None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -19,6 +19,7 @@
 from wagtailline_sidecar._request_writer import RequestWriter
 from wagtailline_sidecar._response_limits import ResponseLimits
 from wagtailline_sidecar._response_stream import ResponseStream
+from wagtailline_sidecar.body_memory import BodyBuffer, make_unlimited_memory
 from wagtailline_sidecar.http_messages import (
     CONNECTION,
     CONTENT_LENGTH,
@@ -45,7 +46,6 @@
 _CLOSE = b'close'
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
-_READ_HIGH_WATER_BYTES = 512 * 1024
 
 
 class ClientConnection(asyncio.Protocol):
@@ -54,6 +54,7 @@
     A connection that received bytes outside of an expected response is not
     reused. ``opened_at`` is the time at which its pool opened it, and
     ``on_idle_lost`` is called if the server ends it between two requests.
+    Bodies of responses are held in ``memory``.
     """
 
     def __init__(self) -> None:
@@ -62,8 +63,8 @@
         self._transport: asyncio.Transport | None = None
         self._request: ClientRequest | None = None
         self._headers: list[tuple[bytes, bytes]] = []
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self.memory = make_unlimited_memory()
+        self._buffer = self._make_buffer()
         self._wakeup: asyncio.Future[None] | None = None
         self._response_headers: Headers = ()
         self._status = 0
@@ -72,7 +73,7 @@
         self._is_skipping = False
         self._is_malformed = False
         self._is_lost = False
-        self._lost_cleanly = False
+        self._is_aborted = False
         self._must_close = False
         self._limits = ResponseLimits()
         self._writer = RequestWriter(self.close)
@@ -114,11 +115,10 @@
         is_unexpected = self.is_reusable
         self._is_lost = True
         self._writer.end()
-        self._lost_cleanly = exc is None
         if is_unexpected and self.on_idle_lost is not None:
             self.on_idle_lost()
         if self._is_head_complete and not self._has_framing():
-            self._is_complete = exc is None
+            self._is_complete = exc is None and not self._is_aborted
         self._wake()
 
     def pause_writing(self) -> None:
@@ -198,12 +198,21 @@
     def close(self) -> None:
         """Abort the connection, which cancels its request."""
         self._must_close = True
+        self._is_aborted = True
+        if not self._is_complete:
+            self._buffer.clear()
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self) -> None:
+        """Close the connection; what it holds of the body is not needed."""
+        self._buffer.clear()
+        self.close()
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; ignore trailers, which follow the body."""
         if not self._is_head_complete:
+            self._limits.record_header(name, value)
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -238,16 +247,14 @@
     def on_body(self, content: bytes) -> None:
         """Buffer a part of the body; pause reading above the limit."""
         self._limits.record_progress()
-        if self._is_skipping:
+        if self._is_skipping or self._is_malformed:
             return
         if self._is_complete:
             self._is_malformed = True
             return
-        self._chunks.append(content)
-        self._buffered_bytes += len(content)
-        if self._buffered_bytes > _READ_HIGH_WATER_BYTES + MAX_BUFFERED_BYTES:
-            if self._transport is not None:
-                self._transport.pause_reading()
+        self._buffer.append(content)
+        if self._buffer.is_full and self._transport is not None:
+            self._transport.pause_reading()
         self._wake()
 
     def on_message_complete(self) -> None:
@@ -260,8 +267,7 @@
 
     def _start_exchange(self, request: ClientRequest) -> None:
         self._request = request
-        self._chunks = []
-        self._buffered_bytes = 0
+        self._buffer = self._make_buffer()
         self._is_head_complete = False
         self._is_complete = False
         self._is_skipping = False
@@ -279,29 +285,28 @@
         if not self._has_framing():
             self._must_close = True
         while not self._is_complete:
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            if self._buffer.is_full:
+                self._buffer.stream()
                 return ResponseStream(self)
             self._raise_if_failed()
             await self._wait()
-        content = b''.join(self._chunks)
+        body = self._buffer.take_whole()
         self._end_exchange()
-        return WholeBody(content)
+        return body
 
     async def read_streamed(self) -> bytes:
         """Return the next part of a streamed body, or nothing at its end.
 
         Raises BodyTruncated if the body breaks off.
         """
-        while not self._chunks:
+        while not self._buffer:
             if self._is_complete:
                 self._end_exchange()
                 return b''
             self._raise_if_truncated()
             await self._wait()
-        content = b''.join(self._chunks)
-        self._chunks = []
-        self._buffered_bytes = 0
-        if self._transport is not None:
+        content = self._buffer.take()
+        if self._transport is not None and not self._buffer.is_full:
             self._transport.resume_reading()
         return content
 
@@ -317,10 +322,18 @@
 
     def _end_exchange(self) -> None:
         self._request = None
-        self._chunks = []
+        self._buffer.clear()
         if self._must_close or self._is_malformed:
             self.close()
 
+    def _make_buffer(self) -> BodyBuffer:
+        return BodyBuffer(self.memory, MAX_BUFFERED_BYTES, self._cut)
+
+    def _cut(self) -> None:
+        """End the response, which must not look complete."""
+        self._is_complete = False
+        self._fail_malformed()
+
     def _has_framing(self) -> bool:
         names = {name for name, _ in self._response_headers}
         return CONTENT_LENGTH in names or TRANSFER_ENCODING in names
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -18,6 +18,7 @@
     close_body,
 )
 from wagtailline.ports import MonotonicClock
+from wagtailline_sidecar.body_memory import make_unlimited_memory
 from wagtailline_sidecar.forwarding_state import (
     BUSY_REASONS,
     UPSTREAM_REASONS,
@@ -30,12 +31,14 @@
 from wagtailline_sidecar.model import Endpoint
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.selection import Selector
-from wagtailline_sidecar.streamed_bodies import ChainedBody
+from wagtailline_sidecar.streamed_bodies import buffer_body
 from wagtailline_sidecar.upstream_notices import read_notice
 
 # Response bodies up to this size are buffered before they are forwarded, so
 # that a request can be retried if its response is truncated.
 MAX_BUFFERED_BYTES = 1024 * 1024
+# The same for the bodies of failures.
+MAX_BUFFERED_FAILURE_BYTES = 64 * 1024
 _SERVER_ERRORS = range(500, 600)
 _SUCCESS = range(200, 300)
 _MILLISECONDS_PER_SECOND = 1000
@@ -63,7 +66,9 @@
         """Set up a forwarder that sends requests with ``call_gate``.
 
         ``policy`` decides about retries. Events are passed to ``observe``.
+        Bodies of responses are held in ``memory``.
         """
+        self.memory = make_unlimited_memory()
         self._names = names
         self._observe = observe
         self._selector = selector
@@ -90,6 +95,8 @@
             if isinstance(outcome, Err):
                 outcome = Err(state.add_refusal(outcome.err_value))
             if await self._may_retry(state, outgoing, outcome):
+                if isinstance(outcome, Ok):
+                    await close_body(outcome.ok_value.body)
                 continue
             if isinstance(outcome, Err):
                 return Err(state.conclude(outcome.err_value))
@@ -151,22 +158,19 @@
         answer = outcome.ok_value
         if isinstance(answer.body, WholeBody):
             return outcome
-        chunks: list[bytes] = []
-        size = 0
+        is_failure = answer.status in _SERVER_ERRORS
+        max_bytes = (
+            MAX_BUFFERED_FAILURE_BYTES if is_failure else MAX_BUFFERED_BYTES
+        )
         try:
-            async for chunk in answer.body:
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > MAX_BUFFERED_BYTES:
-                    body = ChainedBody(chunks, answer.body)
-                    return Ok(answer._replace(body=body))
+            body = await buffer_body(answer.body, max_bytes, self.memory)
         except BodyTruncated:
             return Err(Refusal('answer_truncated', 'unknown'))
         except BaseException:
             # The caller has left, or its time is up.
             await close_body(answer.body)
             raise
-        return Ok(answer._replace(body=WholeBody(b''.join(chunks))))
+        return Ok(answer._replace(body=body))
 
     def _make_call(
         self,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from wagtailline.ports import Address
+from wagtailline_sidecar.body_memory import BodyMemory, make_unlimited_memory
 from wagtailline_sidecar.model import IngressLimits
 from wagtailline_sidecar.server_connection import Handler, ServerConnection
 from wagtailline_sidecar.turns import Turns
@@ -21,11 +22,14 @@
         on_error: Callable[[Exception], None],
         limits: Callable[[], IngressLimits] = IngressLimits,
         turns: Turns | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         """Set up a listener; ``start`` opens the socket.
 
-        ``on_error`` is called with exceptions that the handler raises.
+        ``on_error`` is called with exceptions that the handler raises. Bodies
+        are held in ``memory``; without one, they are not bounded together.
         """
+        self._memory = memory or make_unlimited_memory()
         self._turns = turns or Turns()
         self._on_error = on_error
         self._address = address
@@ -84,6 +88,7 @@
             self._connections,
             self._on_error,
             self._turns,
+            self._memory,
         )
         connection.is_closing = self._is_draining
         return connection
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
@@ -9,16 +9,15 @@
 
 from wagtailline.calls import (
     Answer,
-    Body,
     BodyTruncated,
     Deadline,
     Executed,
     Headers,
     Refusal,
-    WholeBody,
 )
-from wagtailline_sidecar._exchange import Exchange, RequestBody
+from wagtailline_sidecar._exchange import Exchange
 from wagtailline_sidecar.admission import Admission, Admitted
+from wagtailline_sidecar.body_memory import make_unlimited_memory
 from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.forwarder import Forwarder
 from wagtailline_sidecar.forwarding_state import (
@@ -33,7 +32,7 @@
 from wagtailline_sidecar.routing import Splitter
 from wagtailline_sidecar.server_connection import IncomingRequest
 from wagtailline_sidecar.snapshot import SnapshotStore
-from wagtailline_sidecar.streamed_bodies import ChainedBody
+from wagtailline_sidecar.streamed_bodies import buffer_body
 
 # Larger request bodies are streamed, so they can be sent only once.
 MAX_BUFFERED_BODY_BYTES = 256 * 1024
@@ -82,8 +81,10 @@
         """Set up the handler.
 
         ``service`` is the service of the upstream on this VM; it is named as
-        the caller in forwarded requests.
+        the caller in forwarded requests. Bodies of requests are held in
+        ``memory``.
         """
+        self.memory = make_unlimited_memory()
         self._dependencies = dependencies
         self._names = names
         self._service = service.encode()
@@ -133,7 +134,9 @@
     async def _forward(
         self, request: IncomingRequest, state: ForwardingState
     ) -> Result[Answer, Refusal]:
-        body = await _buffer_small_body(request.body)
+        body = await buffer_body(
+            request.body, MAX_BUFFERED_BODY_BYTES, self.memory
+        )
         outgoing = OutgoingRequest(
             request.method,
             request.target,
@@ -208,18 +211,6 @@
         )
 
 
-async def _buffer_small_body(body: RequestBody) -> Body:
-    """Return the body, buffered unless it is large."""
-    chunks: list[bytes] = []
-    size_bytes = 0
-    async for chunk in body:
-        chunks.append(chunk)
-        size_bytes += len(chunk)
-        if size_bytes > MAX_BUFFERED_BODY_BYTES:
-            return ChainedBody(chunks, body)
-    return WholeBody(b''.join(chunks))
-
-
 def _reason(outcome: Answer | Refusal) -> str:
     match outcome:
         case Answer():
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -7,7 +7,11 @@
 
 import httptools
 
-from wagtailline_sidecar._exchange import Exchange, RequestBody
+from wagtailline_sidecar._exchange import (
+    BODY_HIGH_WATER_BYTES,
+    Exchange,
+    RequestBody,
+)
 from wagtailline_sidecar._lingering_close import LingeringClose
 from wagtailline_sidecar._request_head import (
     BAD_REQUEST,
@@ -17,6 +21,7 @@
     RequestHead,
     check_head,
 )
+from wagtailline_sidecar.body_memory import BodyBuffer, BodyMemory, Holding
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import IngressLimits
 from wagtailline_sidecar.turns import Turns
@@ -27,6 +32,8 @@
 # queued. Bytes up to the limit are held, so that the end of the stream is seen.
 MAX_PIPELINED = 16
 MAX_HELD_BYTES = 64 * 1024
+# With more unsent bytes, writers wait until the client has read some.
+WRITE_HIGH_WATER_BYTES = 16 * 1024
 _REQUEST_TIMEOUT = 408
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Requests with these methods run concurrently with earlier pipelined ones.
@@ -46,13 +53,17 @@
         connections: 'set[ServerConnection]',
         on_error: Callable[[Exception], None],
         turns: Turns,
+        memory: BodyMemory,
     ) -> None:
         """Set up a connection that runs ``handler`` in a task per request.
 
         The connection adds itself to ``connections`` while it is open.
         ``on_error`` is called with exceptions that the handler raises. The
-        handlers of all connections take ``turns``.
+        handlers of all connections take ``turns``. Bodies of requests, and
+        what the client is slow to read, are held in ``memory``.
         """
+        self._memory = memory
+        self._unsent = Holding(memory, self.abort)
         self._turns = turns
         self._on_error = on_error
         self._handler = handler
@@ -96,6 +107,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
         self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
         self._connections.add(self)
         self._start_timer(self._limits().idle_timeout_seconds)
 
@@ -111,6 +123,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel every request of the connection."""
         self._connections.discard(self)
+        self._unsent.close()
         if self._lingering is not None:
             self._lingering.stop()
         self._end_requests()
@@ -181,6 +194,7 @@
 
     def resume_writing(self) -> None:
         """Wake the writers that wait for the transport."""
+        self._unsent.close()
         self._writable.set()
 
     def close_when_idle(self) -> None:
@@ -245,7 +259,10 @@
             self._refuse(status)
             return
         self._cancel_timer()
-        self._body = RequestBody(self._pause_reading, self._resume_reading)
+        buffer = BodyBuffer(self._memory, BODY_HIGH_WATER_BYTES, self.abort)
+        self._body = RequestBody(
+            self._pause_reading, self._resume_reading, buffer
+        )
         headers = tuple(self._headers)
         request = IncomingRequest(
             self._parser.get_method().decode('latin-1'),
@@ -316,6 +333,8 @@
         """Write bytes and wait while the write buffer is full."""
         self._write(content)
         if not self._writable.is_set():
+            if self._transport is not None:
+                self._unsent.resize(self._transport.get_write_buffer_size())
             await self._writable.wait()
 
     def _start_queued_requests(self) -> None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -1,5 +1,6 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from prometheus_client import (
@@ -92,12 +93,21 @@
             buckets=_LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self._held_bytes = Gauge(
+            'wagtailline_body_bytes',
+            'Bytes of bodies that the daemon holds',
+            registry=self._registry,
+        )
         self._create_refresh_metrics()
 
     def observe_start_delay(self, seconds: float) -> None:
         """Count the time that a read request waited for the processor."""
         self._start_delay_seconds.observe(seconds)
 
+    def show_held_bytes(self, find: Callable[[], int]) -> None:
+        """Show the bytes of bodies that the daemon holds, when asked."""
+        self._held_bytes.set_function(find)
+
     def observe(self, event: NamedTuple) -> None:
         """Log an event and update the metrics for it."""
         if _is_logged(event):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -15,6 +15,7 @@
     WholeBody,
 )
 from wagtailline.ports import Address
+from wagtailline_sidecar.body_memory import make_unlimited_memory
 from wagtailline_sidecar.client_connection import (
     AnswerMalformed,
     AnswerMissing,
@@ -93,8 +94,10 @@
         The attribute ``observe_failure`` is called with each failure,
         ``observe_answer`` with the time at which the connection of each
         response was opened, and ``observe_notice`` with what each response
-        of a known instance says of it.
+        of a known instance says of it. Bodies of responses are held in
+        ``memory``.
         """
+        self.memory = make_unlimited_memory()
         self._address = address
         self._names = header_names
         self._clock = clock
@@ -216,6 +219,7 @@
             self._address, CONNECT_TIMEOUT_SECONDS
         )
         connection.opened_at = self._clock.monotonic()
+        connection.memory = self.memory
         self._connections.add(connection)
         return connection
 
--- a/packages/wagtailline-sidecar/tests/test_client_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_client_connection.py
@@ -250,7 +250,7 @@
     connection = await open_connection(address, 1)
     response = await connection.exchange(REQUEST, WholeBody())
     await asyncio.sleep(0.3)
-    assert connection._buffered_bytes < 4 * MAX_BUFFERED_BYTES
+    assert len(connection._buffer) < 4 * MAX_BUFFERED_BYTES
     await response.body.aclose()
     async with asyncio.timeout(5):
         await closed.wait()
--- a/packages/wagtailline-sidecar/tests/test_streamed_bodies.py
+++ b/packages/wagtailline-sidecar/tests/test_streamed_bodies.py
@@ -6,6 +6,7 @@
 
 from wagtailline.calls import BodyTruncated
 from wagtailline_sidecar._exchange import Exchange
+from wagtailline_sidecar.body_memory import make_unlimited_memory
 from wagtailline_sidecar.streamed_bodies import ChainedBody, ObservedBody
 
 
@@ -67,7 +68,7 @@
     connection = FakeConnection(max_writes)
     connection.exchange = Exchange(connection, 'GET', None)
     connection.exchange.allow_writing()
-    chained = ChainedBody([b'first'], body)
+    chained = ChainedBody(bytearray(b'first'), body, make_unlimited_memory())
     connection.exchange.run(connection.exchange.stream(200, (), chained))
     async with asyncio.timeout(5):
         await body.closed.wait()
@@ -75,13 +76,15 @@
 
 async def test_chained_body_that_was_never_read_closes_its_rest():
     body = EndlessBody()
-    chained = ChainedBody([b'a', b'b'], body)
+    chained = ChainedBody(bytearray(b'ab'), body, make_unlimited_memory())
     await chained.aclose()
     assert body.closed.is_set()
 
 
 async def test_chained_body_yields_the_chunks_and_then_the_rest():
-    chained = ChainedBody([b'a', b'b'], EndlessBody())
+    chained = ChainedBody(
+        bytearray(b'ab'), EndlessBody(), make_unlimited_memory()
+    )
     assert [await anext(chained), await anext(chained)] == [b'ab', b'part']
 
 
