--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -57,12 +57,16 @@
         self.received_bytes = 0
 
     def feed(self, content: bytes) -> None:
-        """Buffer a part; pause reading above the high-water mark."""
+        """Buffer a part; ``settle`` counts it."""
         self.received_bytes += len(content)
         self._buffer.append(content)
+        self._wake()
+
+    def settle(self) -> None:
+        """Count the bytes that have arrived; pause reading if they are many."""
+        self._buffer.settle()
         if self._buffer.is_full:
             self._pause()
-        self._wake()
 
     def finish(self) -> None:
         """Mark the body as complete."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/body_memory.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/body_memory.py
@@ -156,6 +156,7 @@
         self._memory = memory
         self._max_bytes = max_bytes
         self._content = bytearray()
+        self._taken_bytes = 0
         self._holding = Holding(memory, cut)
         self.is_full = False
 
@@ -164,12 +165,15 @@
         return len(self._content)
 
     def append(self, content: bytes) -> None:
-        """Add bytes that have arrived."""
+        """Add bytes that have arrived; ``settle`` counts them."""
         self._content += content
+
+    def settle(self) -> None:
+        """Count the bytes that have arrived since the last call."""
         size_bytes = len(self._content)
         if size_bytes > min(self._max_bytes, self._memory.share_bytes):
             self.is_full = True
-        self._holding.resize(self._holding.size_bytes + len(content))
+        self._holding.resize(size_bytes + self._taken_bytes)
 
     def stream(self) -> None:
         """Hold no more than a part from now on, as the body is passed on."""
@@ -180,6 +184,7 @@
         content = bytes(self._content[:MAX_PART_BYTES])
         self._holding.resize(len(self._content))
         del self._content[:MAX_PART_BYTES]
+        self._taken_bytes = len(content)
         if not self._content:
             self.is_full = False
         return content
@@ -193,6 +198,7 @@
     def clear(self) -> None:
         """Discard all bytes."""
         self._content = bytearray()
+        self._taken_bytes = 0
         self.is_full = False
         self._holding.close()
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -16,6 +16,7 @@
     ClientResponse,
     ConnectionFailed,
 )
+from wagtailline_sidecar._paced_protocol import PacedProtocol
 from wagtailline_sidecar._request_writer import RequestWriter
 from wagtailline_sidecar._response_limits import ResponseLimits
 from wagtailline_sidecar._response_stream import ResponseStream
@@ -48,7 +49,7 @@
 _SWITCHING_PROTOCOLS = 101
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(PacedProtocol):
     """Protocol of one connection, which carries one request at a time.
 
     A connection that received bytes outside of an expected response is not
@@ -60,7 +61,6 @@
     def __init__(self) -> None:
         """Set up a protocol that is usable once the connection is made."""
         self._parser = httptools.HttpResponseParser(self)
-        self._transport: asyncio.Transport | None = None
         self._request: ClientRequest | None = None
         self._headers: list[tuple[bytes, bytes]] = []
         self.memory = make_unlimited_memory()
@@ -100,8 +100,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._writer.open(self._transport)
+        super().connection_made(transport)
+        self._writer.open(cast(asyncio.Transport, transport))
         client_socket = transport.get_extra_info('socket')
         if client_socket is not None:
             set_unacknowledged_timeout(client_socket)
@@ -141,6 +141,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail_malformed()
             return
+        self._settle_buffer()
         if self._limits.is_exceeded(
             len(data), is_head_complete=self._is_head_complete
         ):
@@ -245,7 +246,7 @@
         self._wake()
 
     def on_body(self, content: bytes) -> None:
-        """Buffer a part of the body; pause reading above the limit."""
+        """Buffer a part of the body."""
         self._limits.record_progress()
         if self._is_skipping or self._is_malformed:
             return
@@ -253,8 +254,6 @@
             self._is_malformed = True
             return
         self._buffer.append(content)
-        if self._buffer.is_full and self._transport is not None:
-            self._transport.pause_reading()
         self._wake()
 
     def on_message_complete(self) -> None:
@@ -306,8 +305,8 @@
             self._raise_if_truncated()
             await self._wait()
         content = self._buffer.take()
-        if self._transport is not None and not self._buffer.is_full:
-            self._transport.resume_reading()
+        if not self._buffer.is_full:
+            self._resume_reading()
         return content
 
     def _raise_if_truncated(self) -> None:
@@ -325,10 +324,17 @@
         self._buffer.clear()
         if self._must_close or self._is_malformed:
             self.close()
+        self._resume_reading()
 
     def _make_buffer(self) -> BodyBuffer:
         return BodyBuffer(self.memory, MAX_BUFFERED_BYTES, self._cut)
 
+    def _settle_buffer(self) -> None:
+        """Count what has arrived; pause reading above the limit."""
+        self._buffer.settle()
+        if self._buffer.is_full:
+            self._pause_reading()
+
     def _cut(self) -> None:
         """End the response, which must not look complete."""
         self._is_complete = False
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -13,6 +13,7 @@
     RequestBody,
 )
 from wagtailline_sidecar._lingering_close import LingeringClose
+from wagtailline_sidecar._paced_protocol import PacedProtocol
 from wagtailline_sidecar._request_head import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
@@ -43,7 +44,7 @@
 Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(PacedProtocol):
     """Protocol that parses requests and sends the responses in order."""
 
     def __init__(
@@ -74,7 +75,6 @@
         self._queued_requests: deque[IncomingRequest] = deque()
         self._request: IncomingRequest | None = None
         self._body: RequestBody | None = None
-        self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._writable = asyncio.Event()
         self._writable.set()
@@ -106,8 +106,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=WRITE_HIGH_WATER_BYTES)
+        super().connection_made(transport)
+        cast(asyncio.Transport, transport).set_write_buffer_limits(
+            high=WRITE_HIGH_WATER_BYTES
+        )
         self._connections.add(self)
         self._start_timer(self._limits().idle_timeout_seconds)
 
@@ -160,6 +162,8 @@
                 self._ignores_input = True
                 return
             self._refuse(BAD_REQUEST)
+        if self._body is not None:
+            self._body.settle()
         if self._is_in_head and completed_before == self._completed_messages:
             # The parser buffers an incomplete header field, so its bytes
             # are counted here to enforce the limit on the head.
@@ -212,6 +216,7 @@
         """Close the connection once the client has all responses."""
         self._is_stopped = True
         self._cancel_timer()
+        self._resume_reading()
         if self._transport is not None and self._lingering is None:
             self._lingering = LingeringClose(
                 self._transport, self._limits().idle_timeout_seconds
@@ -386,15 +391,6 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(content)
 
-    def _pause_reading(self) -> None:
-        if self._transport is not None and self._transport.is_reading():
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
         loop = asyncio.get_running_loop()
--- a/packages/wagtailline-sidecar/tests/test_forwarder.py
+++ b/packages/wagtailline-sidecar/tests/test_forwarder.py
@@ -17,7 +17,10 @@
 from wagtailline.ports import Address
 from wagtailline.routing import RetryBudget
 from wagtailline_sidecar.admission import Admitted
-from wagtailline_sidecar.forwarder import Forwarder
+from wagtailline_sidecar.forwarder import (
+    MAX_BUFFERED_FAILURE_BYTES,
+    Forwarder,
+)
 from wagtailline_sidecar.forwarding_state import (
     ForwardingState,
     OutgoingRequest,
@@ -333,3 +336,35 @@
     gates = FakeGates(first_outcome, *[NOT_RUN] * 10)
     _, forwarding = forward(gates, max_attempts=3)
     assert (await forwarding).err_value.executed == 'unknown'
+
+
+class EndlessFailure:
+    """Body of a failure that never ends, and notes that it was closed."""
+
+    def __init__(self) -> None:
+        self.read_bytes = 0
+        self.is_closed = False
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self):
+        self.read_bytes += 1000
+        return b'x' * 1000
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+async def test_failure_without_end_is_closed_before_the_retry():
+    """Guards against bodies that go on after nobody wants them.
+
+    The body of a failure was dropped unclosed, and held its slot and memory
+    until its deadline.
+    """
+    body = EndlessFailure()
+    gates = FakeGates(Ok(Answer(500, (), body)), SUCCESS)
+    _, forwarding = forward(gates)
+    assert (await forwarding).ok_value.status == 200
+    assert body.is_closed
+    assert body.read_bytes <= MAX_BUFFERED_FAILURE_BYTES + 1000
