--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -141,7 +141,9 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail_malformed()
             return
-        self._settle_buffer()
+        self._buffer.settle()
+        if self._buffer.is_full:
+            self._pause_reading()
         if self._limits.is_exceeded(
             len(data), is_head_complete=self._is_head_complete
         ):
@@ -329,12 +331,6 @@
     def _make_buffer(self) -> BodyBuffer:
         return BodyBuffer(self.memory, MAX_BUFFERED_BYTES, self._cut)
 
-    def _settle_buffer(self) -> None:
-        """Count what has arrived; pause reading above the limit."""
-        self._buffer.settle()
-        if self._buffer.is_full:
-            self._pause_reading()
-
     def _cut(self) -> None:
         """End the response, which must not look complete."""
         self._is_complete = False
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -22,7 +22,8 @@
     RequestHead,
     check_head,
 )
-from wagtailline_sidecar.body_memory import BodyBuffer, BodyMemory, Holding
+from wagtailline_sidecar._response_writer import ResponseWriter
+from wagtailline_sidecar.body_memory import BodyBuffer, BodyMemory
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import IngressLimits
 from wagtailline_sidecar.turns import Turns
@@ -33,8 +34,6 @@
 # queued. Bytes up to the limit are held, so that the end of the stream is seen.
 MAX_PIPELINED = 16
 MAX_HELD_BYTES = 64 * 1024
-# With more unsent bytes, writers wait until the client has read some.
-WRITE_HIGH_WATER_BYTES = 16 * 1024
 _REQUEST_TIMEOUT = 408
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Requests with these methods run concurrently with earlier pipelined ones.
@@ -64,7 +63,7 @@
         what the client is slow to read, are held in ``memory``.
         """
         self._memory = memory
-        self._unsent = Holding(memory, self.abort)
+        self._writer = ResponseWriter(memory, self.abort)
         self._turns = turns
         self._on_error = on_error
         self._handler = handler
@@ -76,8 +75,6 @@
         self._request: IncomingRequest | None = None
         self._body: RequestBody | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._url = b''
         self._headers: list[tuple[bytes, bytes]] = []
         self._head_bytes = 0
@@ -107,9 +104,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
         super().connection_made(transport)
-        cast(asyncio.Transport, transport).set_write_buffer_limits(
-            high=WRITE_HIGH_WATER_BYTES
-        )
+        self._writer.open(cast(asyncio.Transport, transport))
         self._connections.add(self)
         self._start_timer(self._limits().idle_timeout_seconds)
 
@@ -125,7 +120,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel every request of the connection."""
         self._connections.discard(self)
-        self._unsent.close()
         if self._lingering is not None:
             self._lingering.stop()
         self._end_requests()
@@ -133,7 +127,7 @@
     def _end_requests(self) -> None:
         self._is_stopped = True
         self._cancel_timer()
-        self._writable.set()
+        self._writer.resume()
         if self._body is not None:
             self._body.fail()
         for exchange in self._exchanges:
@@ -194,12 +188,11 @@
 
     def pause_writing(self) -> None:
         """Make writers wait until the transport has drained."""
-        self._writable.clear()
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Wake the writers that wait for the transport."""
-        self._unsent.close()
-        self._writable.set()
+        self._writer.resume()
 
     def close_when_idle(self) -> None:
         """Reject new requests and close after the pending responses."""
@@ -278,7 +271,7 @@
         )
         self._headers = []
         if find_header(headers, b'expect') is not None:
-            self._write(_CONTINUE)
+            self._writer.write(_CONTINUE)
         self._queued_requests.append(request)
         self._start_queued_requests()
 
@@ -336,11 +329,8 @@
 
     async def write(self, content: bytes) -> None:
         """Write bytes and wait while the write buffer is full."""
-        self._write(content)
-        if not self._writable.is_set():
-            if self._transport is not None:
-                self._unsent.resize(self._transport.get_write_buffer_size())
-            await self._writable.wait()
+        self._writer.write(content)
+        await self._writer.drain()
 
     def _start_queued_requests(self) -> None:
         while self._queued_requests and not self._is_stopped:
@@ -387,10 +377,6 @@
         self._head_bytes += count
         self._unparsed_bytes = 0
 
-    def _write(self, content: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(content)
-
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
         loop = asyncio.get_running_loop()
--- a/tests/wagtailline_platform/_endless.py
+++ b/tests/wagtailline_platform/_endless.py
@@ -19,6 +19,8 @@
 OTHER_CALLERS = 5
 WATCH_SECONDS = 5.0
 _ROUTE_TIMEOUT_MS = 10_000
+# Long enough for a busy machine, shorter than the time of ``send_request``.
+_OTHER_TIMEOUT_MS = 4_000
 _KIBIBYTE = 1024
 
 
@@ -101,6 +103,7 @@
     fleet.platform.put(f'servers/{vm.upstream.instance}', entry)
     configuration = make_configuration(2)
     route = configuration['routes']['status']
+    route |= {'timeoutMs': _OTHER_TIMEOUT_MS, 'sloMs': _OTHER_TIMEOUT_MS}
     configuration['routes']['archive'] = {
         **route,
         'prefix': '/archive/',
