Count the bytes of a request body once per read, not per piece

Thirty clients that uploaded in chunks of one byte slowed a daemon: each byte looked up the limit of bodies and was counted. Both happen once per read now. Other callers in 5 s at load 22: 75 served and 2 not before, 115 and 1 not after; one run each, so the difference is not proven. Uploads in chunks of 64 KiB: 811 and 737 served, none not.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -156,8 +156,7 @@
                 self._ignores_input = True
                 return
             self._refuse(BAD_REQUEST)
-        if self._body is not None:
-            self._body.settle()
+        self._settle_body()
         if self._is_in_head and completed_before == self._completed_messages:
             # The parser buffers an incomplete header field, so its bytes
             # are counted here to enforce the limit on the head.
@@ -276,15 +275,13 @@
         self._start_queued_requests()
 
     def on_body(self, content: bytes) -> None:
-        """Pass on a part of the body; refuse a body above the limit."""
-        if self._body is None:
-            return
-        self._body.feed(content)
-        if self._body.received_bytes > self._limits().body_bytes:
-            self._refuse(CONTENT_TOO_LARGE)
+        """Pass on a part of the body."""
+        if self._body is not None:
+            self._body.feed(content)
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
+        self._settle_body()
         self._head_bytes = 0
         self._completed_messages += 1
         if self._body is not None:
@@ -355,6 +352,14 @@
         await self._turns.wait()
         await self._handler(request, exchange)
 
+    def _settle_body(self) -> None:
+        """Count what has arrived; refuse a body above the limit."""
+        if self._body is None:
+            return
+        self._body.settle()
+        if self._body.received_bytes > self._limits().body_bytes:
+            self._refuse(CONTENT_TOO_LARGE)
+
     def _refuse(self, status: int) -> None:
         """Send an error response to invalid input, then close."""
         if self._is_stopped:
