--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wagtailline_sidecar.body_memory import BodyCut
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
@@ -47,3 +48,13 @@
     assert f'{name}{{origin="source",result="ok"}} 1.0' in page
     assert f'{name}{{origin="peer",result="failed"}} 1.0' in page
     assert 'wagtailline_snapshot_age_seconds_count 2.0' in page
+
+
+def test_bytes_of_bodies_are_shown():
+    """Guards against a memory that fills without a trace."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.show_held_bytes(lambda: 5)
+    telemetry.observe(BodyCut(3, 5))
+    page = telemetry.render().decode()
+    assert 'wagtailline_body_bytes 5.0' in page
+    assert 'wagtailline_events_total{event="body_cut"} 1.0' in page
