--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -102,6 +102,7 @@
         Splitter(core.random),
         _build_forwarder(core, peers, quota_services, nested_calls),
     )
+    dependencies.forwarder.memory = core.memory
     handler = Ingress(
         dependencies,
         core.names,
@@ -110,6 +111,7 @@
         core.random,
         core.telemetry.observe,
     )
+    handler.memory = core.memory
 
     def limits() -> IngressLimits:
         snapshot = core.snapshots.current
@@ -121,6 +123,7 @@
         core.report_error,
         limits,
         Turns(core.telemetry.observe_start_delay),
+        core.memory,
     )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -101,6 +101,11 @@
         """Expect nothing until the next request."""
         self.request = None
 
+    def cut(self) -> None:
+        """Fail the response, which must not look complete."""
+        self.is_complete = False
+        self.is_failed = True
+
     def feed(self, content: bytes) -> None:
         """Parse received bytes."""
         if self.request is None:
@@ -137,6 +142,7 @@
         """Append a header; ignore trailers, which follow the body."""
         self._reject_torn(value)
         if not self.is_head_complete:
+            self._limits.record_header(name, value)
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -14,6 +14,7 @@
     ClientResponse,
     ConnectionFailed,
 )
+from wagtailline_sidecar._paced_protocol import PacedProtocol
 from wagtailline_sidecar._request_writer import RequestWriter
 from wagtailline_sidecar._response_reader import ResponseReader
 from wagtailline_sidecar._response_stream import ResponseStream
@@ -21,6 +22,7 @@
     RejectionObserver,
     ignore_event,
 )
+from wagtailline_sidecar.body_memory import BodyBuffer, make_unlimited_memory
 from wagtailline_sidecar.http_messages import has_body
 
 __all__ = (
@@ -36,16 +38,16 @@
 
 # Larger response bodies are streamed instead of buffered.
 MAX_BUFFERED_BYTES = 1024 * 1024
-_READ_HIGH_WATER_BYTES = 512 * 1024
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(PacedProtocol):
     """Protocol of one connection, which carries one request at a time.
 
     A connection that received bytes outside of an expected response is not
     reused. ``opened_at`` is the time at which its pool opened it,
     ``on_idle_lost`` is called if the server ends it between two requests, and
-    ``observe_rejection`` with each event about bytes that are rejected.
+    ``observe_rejection`` with each event about bytes that are rejected. Bodies
+    of responses are held in ``memory``.
     """
 
     def __init__(self) -> None:
@@ -53,9 +55,8 @@
         self._reader = ResponseReader(
             self._take_body, lambda event: self.observe_rejection(event)
         )
-        self._transport: asyncio.Transport | None = None
-        self._chunks: list[bytes] = []
-        self._buffered_bytes = 0
+        self.memory = make_unlimited_memory()
+        self._buffer = self._make_buffer()
         self._wakeup: asyncio.Future[None] | None = None
         self._is_lost = False
         self._is_closed = False
@@ -87,8 +88,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and configure its socket."""
-        self._transport = cast(asyncio.Transport, transport)
-        self._writer.open(self._transport)
+        super().connection_made(transport)
+        self._writer.open(cast(asyncio.Transport, transport))
         client_socket = transport.get_extra_info('socket')
         if client_socket is not None:
             set_unacknowledged_timeout(client_socket)
@@ -123,6 +124,9 @@
         if self._on_data is not None and self._reader.request is not None:
             self._on_data()
         self._reader.feed(data)
+        self._buffer.settle()
+        if self._buffer.is_full:
+            self._pause_reading()
         if self._reader.is_failed:
             self.close()
         self._wake()
@@ -136,8 +140,7 @@
         cancels the request.
         """
         self._reader.start(request)
-        self._chunks = []
-        self._buffered_bytes = 0
+        self._buffer = self._make_buffer()
         if self._is_lost:
             raise AnswerMissing
         send_task = self._writer.send(request, content)
@@ -181,26 +184,31 @@
     def close(self) -> None:
         """Abort the connection, which cancels its request."""
         self._is_closed = True
+        if not self._reader.is_complete:
+            self._buffer.clear()
         if self._transport is not None:
             self._transport.abort()
 
+    def discard(self) -> None:
+        """Close the connection; what it holds of the body is not needed."""
+        self._buffer.clear()
+        self.close()
+
     async def read_streamed(self) -> bytes:
         """Return the next part of a streamed body, or nothing at its end.
 
         Raises BodyTruncated if the body breaks off.
         """
-        while not self._chunks:
+        while not self._buffer:
             if self._reader.is_complete:
                 self._end_exchange()
                 return b''
             if self._reader.is_failed or self._is_lost:
                 raise BodyTruncated
             await self._wait()
-        content = b''.join(self._chunks)
-        self._chunks = []
-        self._buffered_bytes = 0
-        if self._transport is not None:
-            self._transport.resume_reading()
+        content = self._buffer.take()
+        if not self._buffer.is_full:
+            self._resume_reading()
         return content
 
     async def _read_body(self, request: ClientRequest) -> Body:
@@ -215,21 +223,26 @@
         if not reader.has_framing:
             reader.must_close = True
         while not reader.is_complete:
-            if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            if self._buffer.is_full:
+                self._buffer.stream()
                 return ResponseStream(self)
             self._raise_if_failed()
             await self._wait()
-        content = b''.join(self._chunks)
+        body = self._buffer.take_whole()
         self._end_exchange()
-        return WholeBody(content)
+        return body
 
     def _take_body(self, content: bytes) -> None:
-        """Buffer a part of the body; pause reading above the limit."""
-        self._chunks.append(content)
-        self._buffered_bytes += len(content)
-        if self._buffered_bytes > _READ_HIGH_WATER_BYTES + MAX_BUFFERED_BYTES:
-            if self._transport is not None:
-                self._transport.pause_reading()
+        self._buffer.append(content)
+
+    def _make_buffer(self) -> BodyBuffer:
+        return BodyBuffer(self.memory, MAX_BUFFERED_BYTES, self._cut)
+
+    def _cut(self) -> None:
+        """End the response, which must not look complete."""
+        self._reader.cut()
+        self.close()
+        self._wake()
 
     def _raise_if_failed(self) -> None:
         if self._reader.is_failed:
@@ -239,9 +252,10 @@
 
     def _end_exchange(self) -> None:
         self._reader.end()
-        self._chunks = []
+        self._buffer.clear()
         if self._must_close:
             self.close()
+        self._resume_reading()
 
     @property
     def _must_close(self) -> bool:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -7,9 +7,14 @@
 
 import httptools
 
-from wagtailline_sidecar._exchange import Exchange, RequestBody
+from wagtailline_sidecar._exchange import (
+    BODY_HIGH_WATER_BYTES,
+    Exchange,
+    RequestBody,
+)
 from wagtailline_sidecar._incoming_head import IncomingHead
 from wagtailline_sidecar._lingering_close import LingeringClose
+from wagtailline_sidecar._paced_protocol import PacedProtocol
 from wagtailline_sidecar._request_head import (
     BAD_REQUEST,
     CONTENT_TOO_LARGE,
@@ -17,6 +22,8 @@
     IncomingRequest,
     check_head,
 )
+from wagtailline_sidecar._response_writer import ResponseWriter
+from wagtailline_sidecar.body_memory import BodyBuffer, BodyMemory
 from wagtailline_sidecar.http_messages import find_header
 from wagtailline_sidecar.model import IngressLimits
 from wagtailline_sidecar.turns import Turns
@@ -36,7 +43,7 @@
 Handler = Callable[[IncomingRequest, Exchange], Awaitable[None]]
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(PacedProtocol):
     """Protocol that parses requests and sends the responses in order."""
 
     def __init__(
@@ -46,13 +53,17 @@
         connections: 'set[ServerConnection]',
         on_error: Callable[[Exception], None],
         turns: Turns,
+        memory: BodyMemory,
     ) -> None:
         """Set up a connection that runs ``handler`` in a task per request.
 
         The connection adds itself to ``connections`` while it is open.
         ``on_error`` is called with exceptions that the handler raises. The
-        handlers of all connections take ``turns``.
+        handlers of all connections take ``turns``. Bodies of requests, and
+        what the client is slow to read, are held in ``memory``.
         """
+        self._memory = memory
+        self._writer = ResponseWriter(memory, self.abort)
         self._turns = turns
         self._on_error = on_error
         self._handler = handler
@@ -63,10 +74,7 @@
         self._queued_requests: deque[IncomingRequest] = deque()
         self._request: IncomingRequest | None = None
         self._body: RequestBody | None = None
-        self._transport: asyncio.Transport | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
         self._head = IncomingHead()
         self._held_input = b''
         self._is_stopped = False
@@ -90,7 +98,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection and start the idle timeout."""
-        self._transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
+        self._writer.open(cast(asyncio.Transport, transport))
         self._connections.add(self)
         self._start_timer(self._limits().idle_timeout_seconds)
 
@@ -113,7 +122,7 @@
     def _end_requests(self) -> None:
         self._is_stopped = True
         self._cancel_timer()
-        self._writable.set()
+        self._writer.resume()
         if self._body is not None:
             self._body.fail()
         for exchange in self._exchanges:
@@ -139,6 +148,7 @@
                 self._ignores_input = True
                 return
             self._refuse(BAD_REQUEST)
+        self._settle_body()
         self._head.end_input(len(data))
         max_bytes = self._limits().head_bytes
         if self._head.is_open and self._head.size_bytes > max_bytes:
@@ -165,11 +175,11 @@
 
     def pause_writing(self) -> None:
         """Make writers wait until the transport has drained."""
-        self._writable.clear()
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Wake the writers that wait for the transport."""
-        self._writable.set()
+        self._writer.resume()
 
     def close_when_idle(self) -> None:
         """Reject new requests and close after the pending responses."""
@@ -186,6 +196,7 @@
         """Close the connection once the client has all responses."""
         self._is_stopped = True
         self._cancel_timer()
+        self._resume_reading()
         if self._transport is not None and self._lingering is None:
             self._lingering = LingeringClose(
                 self._transport, self._limits().idle_timeout_seconds
@@ -218,7 +229,10 @@
             self._refuse(status)
             return
         self._cancel_timer()
-        self._body = RequestBody(self._pause_reading, self._resume_reading)
+        buffer = BodyBuffer(self._memory, BODY_HIGH_WATER_BYTES, self.abort)
+        self._body = RequestBody(
+            self._pause_reading, self._resume_reading, buffer
+        )
         request = IncomingRequest(
             self._parser.get_method().decode('latin-1'),
             head.target.decode('latin-1'),
@@ -227,20 +241,18 @@
             asyncio.get_running_loop().time(),
         )
         if find_header(head.headers, b'expect') is not None:
-            self._write(_CONTINUE)
+            self._writer.write(_CONTINUE)
         self._queued_requests.append(request)
         self._start_queued_requests()
 
     def on_body(self, content: bytes) -> None:
-        """Pass on a part of the body; refuse a body above the limit."""
-        if self._body is None:
-            return
-        self._body.feed(content)
-        if self._body.received_bytes > self._limits().body_bytes:
-            self._refuse(CONTENT_TOO_LARGE)
+        """Pass on a part of the body."""
+        if self._body is not None:
+            self._body.feed(content)
 
     def on_message_complete(self) -> None:
         """Mark the body as complete."""
+        self._settle_body()
         self._head.end_message()
         if self._body is not None:
             self._body.finish()
@@ -284,9 +296,8 @@
 
     async def write(self, content: bytes) -> None:
         """Write bytes and wait while the write buffer is full."""
-        self._write(content)
-        if not self._writable.is_set():
-            await self._writable.wait()
+        self._writer.write(content)
+        await self._writer.drain()
 
     def _start_queued_requests(self) -> None:
         while self._queued_requests and not self._is_stopped:
@@ -311,6 +322,14 @@
         await self._turns.wait()
         await self._handler(request, exchange)
 
+    def _settle_body(self) -> None:
+        """Count what has arrived; refuse a body above the limit."""
+        if self._body is None:
+            return
+        self._body.settle()
+        if self._body.received_bytes > self._limits().body_bytes:
+            self._refuse(CONTENT_TOO_LARGE)
+
     def _refuse(self, status: int) -> None:
         """Send an error response to invalid input, then close."""
         if self._is_stopped:
@@ -329,19 +348,6 @@
             exchange.allow_writing()
         exchange.run(exchange.respond(status, (), b''))
 
-    def _write(self, content: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(content)
-
-    def _pause_reading(self) -> None:
-        if self._transport is not None and self._transport.is_reading():
-            self._transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            if not self._transport.is_reading():
-                self._transport.resume_reading()
-
     def _start_timer(self, seconds: float) -> None:
         self._cancel_timer()
         loop = asyncio.get_running_loop()
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -1,5 +1,6 @@
 """Counters, gauges and latency histograms in the Prometheus text format."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from prometheus_client import (
@@ -81,12 +82,6 @@
             ['event'],
             registry=self._registry,
         )
-        self._rejected_answers = Counter(
-            'wagtailline_rejected_answers_total',
-            'Bytes of the upstream that are no expected response, by reason',
-            ['reason'],
-            registry=self._registry,
-        )
         self._occupancy = Gauge(
             'wagtailline_gate_occupancy',
             'Calls in progress and queued at the gate',
@@ -106,16 +101,17 @@
         """Count the time that a read request waited for the processor."""
         self._start_delay_seconds.observe(seconds)
 
+    def show_held_bytes(self, find: Callable[[], int]) -> None:
+        """Show the bytes of bodies that the daemon holds, when asked."""
+        self._held_bytes.set_function(find)
+
     def observe(self, event: NamedTuple) -> None:
         """Log an event and update the metrics for it."""
         if _is_logged(event):
             self._events.info(event)
         match event:
             case RequestEnded():
-                self._requests.labels(event.status, event.reason).inc()
-                self._request_seconds.labels(event.route).observe(
-                    event.took_ms / _MILLISECONDS_PER_SECOND
-                )
+                self._observe_request(event)
             case GateCallEnded():
                 self._observe_gate_call(event)
             case RetryDecided():
@@ -135,6 +131,12 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _observe_request(self, event: RequestEnded) -> None:
+        self._requests.labels(event.status, event.reason).inc()
+        self._request_seconds.labels(event.route).observe(
+            event.took_ms / _MILLISECONDS_PER_SECOND
+        )
+
     def _observe_gate_call(self, event: GateCallEnded) -> None:
         self._calls.labels(event.outcome).inc()
         self._wait_seconds.observe(event.waited_ms / _MILLISECONDS_PER_SECOND)
@@ -148,6 +150,17 @@
         )
 
     def _create_path_metrics(self) -> None:
+        self._rejected_answers = Counter(
+            'wagtailline_rejected_answers_total',
+            'Bytes of the upstream that are no expected response, by reason',
+            ['reason'],
+            registry=self._registry,
+        )
+        self._held_bytes = Gauge(
+            'wagtailline_body_bytes',
+            'Bytes of bodies that the daemon holds',
+            registry=self._registry,
+        )
         self._retries = Counter(
             'wagtailline_retries_total',
             'Retries that were wanted, by service, cause and decision',
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/upstream.py
@@ -17,6 +17,7 @@
 from wagtailline.ports import Address
 from wagtailline_sidecar._connection_pool import ConnectionPool
 from wagtailline_sidecar.answer_events import AnswerObserver
+from wagtailline_sidecar.body_memory import make_unlimited_memory
 from wagtailline_sidecar.client_connection import (
     AnswerMalformed,
     AnswerMissing,
@@ -85,7 +86,10 @@
         The attribute ``observe_failure`` is called with each failure,
         ``observe_answer`` with the time at which the connection of each
         response was opened, and ``observe_notice`` with what each response
-        of a known instance says of it."""
+        of a known instance says of it. Bodies of responses are held in
+        ``memory``.
+        """
+        self.memory = make_unlimited_memory()
         self._address = address
         self._names = header_names
         self._clock = clock
@@ -182,7 +186,7 @@
         try:
             answer = await connection.exchange(request, body)
         except BaseException:
-            connection.close()
+            connection.discard()
             raise
         self.observe_answer(connection.opened_at)
         if is_alone:
@@ -196,6 +200,7 @@
             self._address, CONNECT_TIMEOUT_SECONDS
         )
         connection.observe_rejection = self._stutter.record
+        connection.memory = self.memory
         return connection
 
     def _note_loss(self) -> None:
--- a/packages/wagtailline-sidecar/tests/_simulated_server.py
+++ b/packages/wagtailline-sidecar/tests/_simulated_server.py
@@ -98,3 +98,6 @@
     def close(self) -> None:
         self.is_open = False
         self.server.connections.discard(self)
+
+    def discard(self) -> None:
+        self.close()
--- a/packages/wagtailline-sidecar/tests/test_answer_copies.py
+++ b/packages/wagtailline-sidecar/tests/test_answer_copies.py
@@ -71,6 +71,12 @@
     def abort(self) -> None:
         self.is_aborted = True
 
+    def is_closing(self) -> bool:
+        return self.is_aborted
+
+    def is_reading(self) -> bool:
+        return True
+
     def pause_reading(self) -> None:
         """Go on: the tests send what they like."""
 
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -3,6 +3,7 @@
 import pytest
 
 from wagtailline_sidecar.answer_events import AnswerRejected, RejectionReason
+from wagtailline_sidecar.body_memory import BodyCut
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
@@ -71,3 +72,13 @@
     page = telemetry.render().decode()
     name = 'wagtailline_rejected_answers_total'
     assert f'{name}{{reason="surplus"}} 1.0' in page
+
+
+def test_bytes_of_bodies_are_shown():
+    """Guards against a memory that fills without a trace."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.show_held_bytes(lambda: 5)
+    telemetry.observe(BodyCut(3, 5))
+    page = telemetry.render().decode()
+    assert 'wagtailline_body_bytes 5.0' in page
+    assert 'wagtailline_events_total{event="body_cut"} 1.0' in page
