--- a/tests/wagtailline_platform/_soak.py
+++ b/tests/wagtailline_platform/_soak.py
@@ -113,12 +113,18 @@
         await asyncio.gather(*work)
 
     async def _sample(self) -> None:
-        """Note the resident memory of the daemons."""
+        """Note the resident memory of the daemons, and the soak's own lag."""
+        loop = asyncio.get_running_loop()
         while True:
             for vm in self.fleet.vms:
                 kib = read_resident_kib(vm.process.pid)
                 self.record.note_resident(vm.name, kib)
+            due = loop.time() + SAMPLE_SECONDS
             await asyncio.sleep(SAMPLE_SECONDS)
+            lag_seconds = loop.time() - due
+            self.record.most_lag_seconds = max(
+                self.record.most_lag_seconds, lag_seconds
+            )
 
     def _choose_work(self) -> Callable:
         kinds = [
@@ -186,6 +192,16 @@
         await _wait_until_ready(vm)
         self._busy.discard(vm.name)
 
+    async def restart_all(self) -> None:
+        """Kill all daemons, and start them again."""
+        for vm in self.fleet.vms:
+            self._note(vm, 'kill', is_fault=True)
+            vm.process.kill()
+            await vm.process.wait()
+            await vm.start_daemon()
+        for vm in self.fleet.vms:
+            await _wait_until_ready(vm)
+
     async def _send_series(
         self, vm: Vm, series: tuple[signal.Signals, ...], is_fault: bool
     ) -> None:
--- a/tests/wagtailline_platform/_soak_checks.py
+++ b/tests/wagtailline_platform/_soak_checks.py
@@ -68,7 +68,8 @@
 def _find_cut(record: Record) -> list[str]:
     """Return requests that were run and got no answer without a fault."""
     return [
-        f'run, but no answer: {outcome}'
+        f'run, but no answer: {outcome} '
+        f'{record.describe_arrivals(outcome.request_id)}'
         for outcome in record.outcomes
         if not outcome.is_whole
         and outcome.request_id not in record.endless
@@ -238,5 +239,6 @@
     resident = max(record.resident_kib.values(), default=0)
     return (
         f'{dict(sorted(statuses.items()))}, {len(record.faults)} faults, '
-        f'{resident} KiB; {describe_repeats(record)}'
+        f'{resident} KiB, stood still for {record.most_lag_seconds:.2f} s; '
+        f'{describe_repeats(record)}'
     )
--- a/tests/wagtailline_platform/_soak_record.py
+++ b/tests/wagtailline_platform/_soak_record.py
@@ -69,7 +69,8 @@
     """All that the checks of a soak look at.
 
     ``resident_kib`` is the largest resident memory of each VM's daemon,
-    ``endless`` names the requests whose answers never end.
+    ``endless`` names the requests whose answers never end, and
+    ``most_lag_seconds`` is how long the soak itself once stood still.
     """
 
     def __init__(self) -> None:
@@ -80,6 +81,7 @@
         self.outcomes: list[Outcome] = []
         self.work: list[Work] = []
         self.endless: set[str] = set()
+        self.most_lag_seconds = float(0)
         self.problems: list[str] = []
         self.resident_kib: Counter[str] = Counter()
 
@@ -94,6 +96,20 @@
     def note_resident(self, vm: str, kib: int) -> None:
         self.resident_kib[vm] = max(self.resident_kib[vm], kib)
 
+    def describe_arrivals(self, request_id: str) -> str:
+        """Return where a request arrived, and which answers it was given."""
+        arrivals = [
+            f'{arrival.instance} at {arrival.at:.3f}'
+            for arrival in self.arrivals
+            if arrival.request_id == request_id
+        ]
+        statuses = [
+            given.status
+            for given in self.given.values()
+            if given.request_id == request_id
+        ]
+        return f'arrived at {arrivals}, given {statuses}'
+
     def note_arrival(self, arrival: Arrival) -> None:
         self.arrivals.append(arrival)
         if arrival.is_run:
