--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -19,6 +19,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.retry_budgets import RetryDecided
 from wagtailline_sidecar.source_replica import SourceReadEnded
 
 _LATENCY_BUCKETS_SECONDS = (
@@ -99,7 +100,7 @@
             buckets=_LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
-        self._create_refresh_metrics()
+        self._create_path_metrics()
 
     def observe_start_delay(self, seconds: float) -> None:
         """Count the time that a read request waited for the processor."""
@@ -111,18 +112,19 @@
             self._events.info(event)
         match event:
             case RequestEnded():
-                self._requests.labels(event.status, event.reason).inc()
-                self._request_seconds.labels(event.route).observe(
-                    event.took_ms / _MILLISECONDS_PER_SECOND
-                )
+                self._observe_request(event)
             case GateCallEnded():
                 self._observe_gate_call(event)
             case AnswerRejected():
                 self._rejected_answers.labels(event.reason).inc()
+            case RetryDecided():
+                self._retries.labels(
+                    event.service, event.cause, event.decision
+                ).inc()
             case RefreshEnded():
                 self._observe_refresh(event)
             case SourceReadEnded():
-                self._observe_reading(event)
+                self._observe_source_read(event)
             case _:
                 self._events_total.labels(event_name(event)).inc()
 
@@ -130,13 +132,31 @@
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
 
+    def _observe_request(self, event: RequestEnded) -> None:
+        self._requests.labels(event.status, event.reason).inc()
+        self._request_seconds.labels(event.route).observe(
+            event.took_ms / _MILLISECONDS_PER_SECOND
+        )
+
     def _observe_gate_call(self, event: GateCallEnded) -> None:
         self._calls.labels(event.outcome).inc()
         self._wait_seconds.observe(event.waited_ms / _MILLISECONDS_PER_SECOND)
         self._occupancy.labels('in_progress').set(event.in_progress)
         self._occupancy.labels('queued').set(event.queued)
 
-    def _create_refresh_metrics(self) -> None:
+    def _observe_source_read(self, event: SourceReadEnded) -> None:
+        self._source_bytes.observe(event.received_bytes)
+        self._source_transfer_seconds.observe(
+            event.transfer_ms / _MILLISECONDS_PER_SECOND
+        )
+
+    def _create_path_metrics(self) -> None:
+        self._retries = Counter(
+            'wagtailline_retries_total',
+            'Retries that were wanted, by service, cause and decision',
+            ['service', 'cause', 'decision'],
+            registry=self._registry,
+        )
         self._refresh_seconds = Histogram(
             'wagtailline_snapshot_refresh_seconds',
             'Time of attempts to refresh the snapshot, by origin and result',
@@ -163,12 +183,6 @@
             registry=self._registry,
         )
 
-    def _observe_reading(self, event: SourceReadEnded) -> None:
-        self._source_bytes.observe(event.received_bytes)
-        self._source_transfer_seconds.observe(
-            event.transfer_ms / _MILLISECONDS_PER_SECOND
-        )
-
     def _observe_refresh(self, event: RefreshEnded) -> None:
         origin = ORIGIN_SOURCE if event.origin == ORIGIN_SOURCE else 'peer'
         result = 'ok' if event.outcome == OUTCOME_OK else 'failed'
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -8,6 +8,7 @@
     OUTCOME_OK,
     RefreshEnded,
 )
+from wagtailline_sidecar.retry_budgets import DENIED, GRANTED, RetryDecided
 from wagtailline_sidecar.source_replica import SourceReadEnded
 from wagtailline_sidecar.telemetry import Telemetry
 
@@ -57,3 +58,14 @@
     page = telemetry.render().decode()
     name = 'wagtailline_rejected_answers_total'
     assert f'{name}{{reason="surplus"}} 1.0' in page
+
+
+def test_retries_are_counted_by_cause():
+    """Guards against metrics that do not tell why retries were spent."""
+    telemetry = Telemetry(RecordingLog())
+    for decision in (GRANTED, DENIED, DENIED):
+        telemetry.observe(RetryDecided('a', 'desk', '500', decision, 1, 2, 9))
+    page = telemetry.render().decode()
+    name = 'wagtailline_retries_total'
+    labels = 'cause="500",decision="denied",service="desk"'
+    assert f'{name}{{{labels}}} 2.0' in page
