Count waits for a processor from the first sample on

The first sample took all that a process had waited since its start for one wait, so that each run began with a disturbance that excused 3 s of it.

--- a/tests/wagtailline_platform/_soak_record.py
+++ b/tests/wagtailline_platform/_soak_record.py
@@ -103,7 +103,7 @@
 
     def note_waited(self, vm: str, pid: int, seconds: float) -> None:
         """Note as a fault that a process was kept from running for long."""
-        waited_seconds = seconds - self.waited_seconds.get(pid, 0)
+        waited_seconds = seconds - self.waited_seconds.get(pid, seconds)
         self.waited_seconds[pid] = seconds
         if waited_seconds > MAX_WAIT_SECONDS:
             kind = f'had no processor for {waited_seconds:.2f} s'
