--- a/tests/wagtailline_platform/test_soak.py
+++ b/tests/wagtailline_platform/test_soak.py
@@ -45,15 +45,6 @@
     return float(os.environ.get('SOAK_SECONDS', default))
 
 
-def mark_known(kinds, failing):
-    """Return the kinds, those that fail marked as known faults."""
-    mark = pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt: issue 40')
-    return [
-        pytest.param(kind, marks=mark) if kind in failing else kind
-        for kind in kinds
-    ]
-
-
 for_each_seed = pytest.mark.parametrize('seed', read_seeds())
 
 
@@ -122,10 +113,7 @@
 
 
 # Guards against a daemon that keeps what an upstream sends without end.
-@pytest.mark.parametrize(
-    'endless',
-    mark_known(Endless, set(Endless) - {Endless.INTERIM, Endless.FAILURE}),
-)
+@pytest.mark.parametrize('endless', Endless)
 @for_each_seed
 async def test_endless_answers_stay_out_of_memory(fleet, seed, endless):
     soak = await start_soak(
