Take calls per run from daemons only, and within bounds

Change: the gate drops what its upstream sends under that name; numbers out of range make a report malformed. The new cases failed before.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/nested_calls.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/nested_calls.py
@@ -7,6 +7,7 @@
 
 import functools
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 from result import Err, Ok, Result
@@ -14,6 +15,7 @@
 from wagtailline.calls import Answer, Body, CallHandler, CallRequest, Refusal
 from wagtailline.ports import MonotonicClock
 from wagtailline_sidecar.header_names import HeaderNames
+from wagtailline_sidecar.http_messages import drop_headers
 
 # Runs and calls are counted with weights that fall by half in this time.
 _HALF_LIFE_SECONDS = 5.0
@@ -21,10 +23,15 @@
 _DECIMALS = 2
 # Weight of a report in the average over the upstreams of a service.
 _SMOOTHING_FACTOR = 0.2
+# Largest number of calls per run that a report may name.
+_MAX_CALLS_PER_RUN = 1000
 # Reports that are decoded once, however often they come.
 _MAX_DECODED = 256
 
 
+_Ratio = Annotated[float, msgspec.Meta(ge=0, le=_MAX_CALLS_PER_RUN)]
+
+
 class NestedCalls:
     """Calls of the local upstream, by called service."""
 
@@ -87,15 +94,16 @@
     ) -> Result[Answer, Refusal]:
         """Run a call; only those of clients count as runs that make calls."""
         outcome = await self._gate(request, body)
-        if request.depth or isinstance(outcome, Err):
-            return outcome
-        self._calls.record_run()
-        report = self._calls.report()
-        if not report:
+        if isinstance(outcome, Err):
             return outcome
-        answer = outcome.ok_value
-        added = self._names.calls_per_run, report
-        return Ok(answer._replace(headers=(added, *answer.headers)))
+        # Only a daemon may name them.
+        name = self._names.calls_per_run
+        headers = drop_headers(outcome.ok_value.headers, (name,))
+        if not request.depth:
+            self._calls.record_run()
+            report = self._calls.report()
+            headers = ((name, report), *headers) if report else headers
+        return Ok(outcome.ok_value._replace(headers=headers))
 
 
 class CallRatios:
@@ -123,6 +131,6 @@
 @functools.lru_cache(_MAX_DECODED)
 def _decode(report: bytes) -> Mapping[str, float]:
     try:
-        return msgspec.json.decode(report, type=dict[str, float])
+        return msgspec.json.decode(report, type=dict[str, _Ratio])
     except msgspec.MsgspecError:
         return {}
--- a/packages/wagtailline-sidecar/tests/test_retry_budgets.py
+++ b/packages/wagtailline-sidecar/tests/test_retry_budgets.py
@@ -176,7 +176,10 @@
     assert calls.report() == b''
 
 
-@pytest.mark.parametrize('report', [b'', b'{', b'[1]', b'{"vault":"1"}'])
+@pytest.mark.parametrize(
+    'report',
+    [b'', b'{', b'[1]', b'{"vault":"1"}', b'{"vault":-1}', b'{"vault":1e300}'],
+)
 def test_malformed_report_is_ignored(report):
     """Guards against a daemon that fails over the header of another one."""
     ratios = CallRatios()
@@ -198,5 +201,21 @@
     assert report == (None if depth else b'{"vault":1.0}')
 
 
+@pytest.mark.parametrize('depth', [0, 1])
+async def test_upstreams_name_no_calls_per_run(depth):
+    """Guards against an upstream that sets what retries cost others."""
+    name = HeaderNames().calls_per_run
+
+    async def answer(request, body):
+        return Ok(Answer(200, ((name, b'{"vault":9}'),), WholeBody()))
+
+    reporter = CallReporter(answer, NestedCalls(FakeClock()), HeaderNames())
+    request = CallRequest(
+        1, 'host', 'status', '', '', 'GET', '/', (), 1000, depth=depth
+    )
+    answered = (await reporter(request, WholeBody())).ok_value
+    assert find_header(answered.headers, name) is None
+
+
 async def answer_all(request, body):
     return Ok(Answer(200, (), WholeBody()))
