--- a/tests/wagtailline_platform/test_soak.py
+++ b/tests/wagtailline_platform/test_soak.py
@@ -58,7 +58,7 @@
     return soak
 
 
-def check(soak: Soak, least: int = 10) -> None:
+def check(soak: Soak, least: float = 10) -> None:
     """Require ``least`` answers a daemon, and none that must not be."""
     print(describe_work(soak.record))
     print(f'seed {soak.seed}: {describe(soak.record)}')
@@ -98,7 +98,7 @@
         assert await is_ready(vm)
         old, _, _ = await send_request(vm, '/status/1')
         assert old == 401
-    check(soak, least=20)
+    check(soak, least=read_seconds(20))
 
 
 # Guards against an answer that reaches another request than its own.
