--- a/review/6/case.py
+++ b/review/6/case.py
@@ -96,15 +96,22 @@
         machines.append(machine)
         await machine.start()
         # One of the three endpoints is faulty, as far as there is trouble.
-        kind = standins.Endpoint if number != 11 else FaultyEndpoint
-        await kind(machine, 'desk', record).start(store, 'oslo-a')
+        if number == MACHINES[0]:
+            endpoint = faulty = FaultyEndpoint(machine, 'desk', record)
+        else:
+            endpoint = standins.Endpoint(machine, 'desk', record)
+        await endpoint.start(store, 'oslo-a')
     for machine in machines:
         await machine.wait_ready()
     await asyncio.sleep(5)
     # Requests of one client, until the faulty endpoint has got one.
     client = standins.Client(machines[0], record, 'f')
-    for _ in range(6):
+    for _ in range(40):
         await client.request(FAULTY_TARGET, deadline_ms=1000)
+        if faulty.runs:
+            break
+    if not faulty.runs:
+        raise standins.CannotRun('the faulty endpoint got no request')
     ready, outcomes = [], []
     await asyncio.gather(
         ask_readiness(machines[0], record, ready),
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -237,10 +237,19 @@
         for writer in self._writers:
             writer.close()
 
+    def crash(self):
+        """End at once: reset all connections and refuse new ones."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
             await self._answer(reader, writer)
+        except ConnectionError:
+            # The endpoint has crashed, or the caller has left.
+            return
         finally:
             self._writers.discard(writer)
             writer.close()
