--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,7 +10,6 @@
 import json
 import os
 import re
-import shutil
 import signal
 import socket
 import sys
@@ -552,6 +551,13 @@
     await asyncio.sleep(0.05)
 
 
+def stop_on_signal(task):
+    """End the case, and with it its processes, when it is told to stop."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+
+
 def has_trouble():
     """Return whether the disruption is to be made."""
     return os.environ.get('TROUBLE', '1') != '0'
@@ -566,21 +572,21 @@
     machines = []
 
     async def run():
+        stop_on_signal(asyncio.current_task())
         record = Record(folder)
         with tempfile.TemporaryDirectory() as scratch:
             try:
-                async with asyncio.timeout(115):
+                async with asyncio.timeout(105):
                     return record, await case(record, scratch, machines)
             finally:
                 for machine in machines:
                     await machine.end()
-                    if 'KEEP' in os.environ:
-                        shutil.copy(machine.log, os.environ['KEEP'])
                 await cancel_others()
 
     try:
         record, broken = asyncio.run(run())
-    except (CannotRun, OSError, TimeoutError) as problem:
+    except (Exception, asyncio.CancelledError) as problem:
+        # Only a broken rule may end with 1, as an unexpected error would.
         sys.stdout.write(f'could not run: {problem!r}\n')
         sys.exit(2)
     for line in broken:
