--- a/review/9/case.py
+++ b/review/9/case.py
@@ -14,6 +14,8 @@
 
 MACHINES = (11, 12, 13, 14)
 FREEZE_S = 3.5
+# Without some load, an endpoint that was just listed is seldom chosen.
+CLIENTS = 4
 DRAIN_S = standins.BOUNDS['drainMs'] / 1000
 ROUTES = {
     'status': standins.make_route('/status/', 'desk'),
@@ -46,9 +48,9 @@
     raise standins.CannotRun('the machines agree on no reader')
 
 
-async def send_steadily(machine, record, stop):
-    """Send a request every 50 ms from one machine."""
-    client = standins.Client(machine, record, f'c{machine.number}')
+async def send_steadily(machine, record, number, stop):
+    """Send requests, 50 ms after each answer, from one machine."""
+    client = standins.Client(machine, record, f'c{machine.number}-{number}')
     while not stop.is_set():
         try:
             await client.request('/status/1')
@@ -82,8 +84,9 @@
     leaving = endpoints[calm[0].number]
     stop = asyncio.Event()
     tasks = [
-        asyncio.ensure_future(send_steadily(machine, record, stop))
+        asyncio.ensure_future(send_steadily(machine, record, number, stop))
         for machine in calm
+        for number in range(CLIENTS)
     ]
     await asyncio.sleep(2)
     record.write(f'machine {reader.number} reads the store')
