--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/client_connection.py
@@ -154,6 +154,9 @@
                 # The server responded before it read the whole request.
                 self._reader.must_close = True
                 send_task.cancel()
+                if self._reader.request is None:
+                    # Nobody else closes a connection that is not reused.
+                    self.close()
         return ClientResponse(self._reader.status, self._reader.headers, body)
 
     async def exchange_while_flowing(
--- a/packages/wagtailline-sidecar/tests/test_client_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_client_connection.py
@@ -1,6 +1,7 @@
 """Tests of the client side of HTTP connections with scripted servers."""
 
 import asyncio
+import contextlib
 
 import pytest
 from _peers import read_head, send_endlessly, serve_script
@@ -325,3 +326,29 @@
     )
     assert response.status == 200
     assert not connection.is_reusable
+
+
+async def test_connection_is_closed_after_an_early_response():
+    """Guards against connections that nobody closes nor uses again.
+
+    Each upload that was answered early kept a descriptor for good.
+    """
+    closed = asyncio.Event()
+
+    async def body():
+        yield b'part'
+        await asyncio.sleep(30)
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(WHOLE)
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        closed.set()
+
+    server, address = await serve_script(script)
+    connection = await open_connection(address, CONNECT_SECONDS)
+    async with asyncio.timeout(5):
+        await connection.exchange(REQUEST, body())
+        await closed.wait()
+    server.close()
