--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_connection_pool.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_connection_pool.py
@@ -18,6 +18,9 @@
 REST_SECONDS = 1.0
 # Connections to a stuttering upstream that are kept idle.
 MAX_RESTING = 4
+# Connections that are kept idle otherwise. Requests that bear the same id may
+# not share a connection, so they open one each.
+MAX_IDLE = 64
 
 
 class _IdleConnection(NamedTuple):
@@ -79,6 +82,8 @@
         if self._stutter.is_active and len(self._idle) >= MAX_RESTING:
             connection.close()
             return
+        if len(self._idle) >= MAX_IDLE:
+            self._idle.pop(0).connection.close()
         now = self._clock.monotonic()
         self._idle.append(_IdleConnection(connection, now))
         connection.on_idle_lost = self._note_loss
