--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -48,9 +48,12 @@
         """
         self._pause = pause
         self._resume = resume
-        self._buffer = buffer or BodyBuffer(
-            make_unlimited_memory(), BODY_HIGH_WATER_BYTES, self.fail
-        )
+        # An empty buffer is falsy.
+        if buffer is None:
+            buffer = BodyBuffer(
+                make_unlimited_memory(), BODY_HIGH_WATER_BYTES, self.fail
+            )
+        self._buffer = buffer
         self._wakeup: asyncio.Future[None] | None = None
         self._is_truncated = False
         self.is_complete = False
--- a/packages/wagtailline-sidecar/tests/test_server_connection.py
+++ b/packages/wagtailline-sidecar/tests/test_server_connection.py
@@ -8,6 +8,9 @@
 from _peers import connect, echo, get, listen
 
 from wagtailline.calls import BodyTruncated
+from wagtailline_sidecar._exchange import RequestBody
+from wagtailline_sidecar.body_memory import BodyBuffer, BodyMemory
+from wagtailline_sidecar.clock import BootClock
 from wagtailline_sidecar.model import IngressLimits
 
 # The sidecar runs on the second one.
@@ -330,3 +333,17 @@
     with asyncio.Runner(loop_factory=make_loop) as runner:
         runner.run(run())
     assert not started
+
+
+async def test_bodies_that_wait_are_held_in_the_memory_of_the_daemon():
+    """Guards against bodies of waiting requests that nothing bounds.
+
+    The buffer of a body was replaced by one without a limit, since it is
+    empty, and so falsy, when it is passed on.
+    """
+    memory = BodyMemory(BootClock())
+    buffer = BodyBuffer(memory, 1024 * 1024, lambda: None)
+    body = RequestBody(lambda: None, lambda: None, buffer)
+    body.feed(b'x' * 1000)
+    body.settle()
+    assert memory.held_bytes == 1000
