--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_calls.py
@@ -24,7 +24,7 @@
     Hello,
 )
 from wagtailline.ports import Address, Channel, Listener
-from wagtailline.streams import StreamTransport
+from wagtailline.streams import MAX_HELLO_FRAME_BYTES, StreamTransport
 from wagtailline.uplink import Uplink
 from wagtailline_sidecar.snapshot_exchange import SnapshotExchange
 from wagtailline_sidecar.snapshot_messages import SNAPSHOT_KINDS
@@ -32,6 +32,8 @@
 # A peer in the same region answers within milliseconds.
 DIAL_TIMEOUT_SECONDS = 0.3
 HELLO_TIMEOUT_SECONDS = 2.0
+# Connections that may wait for the first message of their peer.
+MAX_UNIDENTIFIED = 64
 
 
 class Peers:
@@ -53,11 +55,14 @@
             Codec({**CONNECTION_KINDS, **CALL_KINDS, **SNAPSHOT_KINDS}),
             observe_fault,
             dial_timeout_seconds=DIAL_TIMEOUT_SECONDS,
+            first_frame_bytes=MAX_HELLO_FRAME_BYTES,
         )
         self._hello = hello
         self._calls: CallServer | None = None
         self._snapshot_exchange: SnapshotExchange | None = None
         self._listener: Listener | None = None
+        # Dictionaries keep the order in which their keys were added.
+        self._unidentified: dict[Channel, None] = {}
 
     def make_hello(self, purpose: str) -> Hello:
         """Return the first message of a connection for a purpose."""
@@ -84,11 +89,17 @@
             await self._listener.close()
 
     async def _accept(self, channel: Channel) -> None:
+        self._unidentified[channel] = None
+        if len(self._unidentified) > MAX_UNIDENTIFIED:
+            oldest = next(iter(self._unidentified))
+            oldest.close()
         try:
             async with asyncio.timeout(HELLO_TIMEOUT_SECONDS):
                 hello = await channel.receive()
         except TimeoutError:
             return channel.close()
+        finally:
+            self._unidentified.pop(channel, None)
         match hello:
             case Hello(protocol=version) if version != PROTOCOL_VERSION:
                 return channel.close()
--- a/packages/wagtailline/src/wagtailline/streams.py
+++ b/packages/wagtailline/src/wagtailline/streams.py
@@ -20,6 +20,8 @@
 
 LENGTH_PREFIX_BYTES = 4
 MAX_FRAME_BYTES = 1024 * 1024
+# Longest first frame of connections that begin with a Hello.
+MAX_HELLO_FRAME_BYTES = 4096
 # Longest frame on connections that carry only calls.
 MAX_CALL_FRAME_BYTES = 256 * 1024
 DIAL_TIMEOUT_SECONDS = 1.0
@@ -50,7 +52,8 @@
         """Take the codec, the fault callback and the frame limit.
 
         The channel is usable once the connection is made, which calls
-        ``on_open``.
+        ``on_open``. ``first_frame_bytes`` is the limit of the first frame, if
+        it is another one.
         """
         self.on_open: Callable[[StreamChannel], None] | None = None
         self._codec = codec
@@ -64,6 +67,7 @@
         self._drained: asyncio.Future[None] | None = None
         self._is_reading_paused = False
         self._is_closed = False
+        self.first_frame_bytes: int | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set up the open connection and call ``on_open``."""
@@ -82,12 +86,13 @@
         while len(data) - frame_start >= LENGTH_PREFIX_BYTES:
             body_start = frame_start + LENGTH_PREFIX_BYTES
             length = int.from_bytes(data[frame_start:body_start], 'big')
-            if length > self._max_frame_bytes:
+            if length > (self.first_frame_bytes or self._max_frame_bytes):
                 self._reject(MalformedFrame(f'frame of {length} bytes'))
                 return
             if len(data) - body_start < length:
                 break
             frame_start = body_start + length
+            self.first_frame_bytes = None
             self._frames.append(data[body_start:frame_start])
             self._queued_bytes += length
         self._incomplete_frame = data[frame_start:]
@@ -205,12 +210,16 @@
         observe_fault: FaultObserver = _ignore_fault,
         max_frame_bytes: int = MAX_FRAME_BYTES,
         dial_timeout_seconds: float = DIAL_TIMEOUT_SECONDS,
+        first_frame_bytes: int | None = None,
     ) -> None:
         """Take the codec of all channels and their limits.
 
         ``observe_fault`` gets the fault of each frame that is rejected. A
-        peer that announces a frame above ``max_frame_bytes`` is disconnected.
+        peer that announces a frame above ``max_frame_bytes`` is disconnected,
+        and so is one whose first frame is above ``first_frame_bytes`` on an
+        accepted connection.
         """
+        self._first_frame_bytes = first_frame_bytes
         self._dial_timeout_seconds = dial_timeout_seconds
         self._max_frame_bytes = max_frame_bytes
         self._codec = codec
@@ -243,6 +252,7 @@
         def make_channel() -> StreamChannel:
             channel = self._make_channel()
             channel.on_open = run_handler
+            channel.first_frame_bytes = self._first_frame_bytes
             return channel
 
         server = await asyncio.get_running_loop().create_server(
--- a/packages/wagtailline/tests/test_streams.py
+++ b/packages/wagtailline/tests/test_streams.py
@@ -126,3 +126,23 @@
             await transport.dial(Address(host, 80))
 
     _run(scenario)
+
+
+def test_large_first_frame_is_rejected_before_it_arrives():
+    """Strangers must not fill the memory with frames that they never end."""
+
+    async def scenario(address, transport, received):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write((1000).to_bytes(4, 'big'))
+        assert await reader.read() == b''
+        writer.close()
+        channel = await transport.dial(address)
+        await channel.send(Note(b'first'))
+        await channel.send(Note(b'x' * 1000))
+        assert await received.get() == 'end'
+        assert await received.get() == Note(b'first')
+        assert await received.get() == Note(b'x' * 1000)
+        channel.close()
+
+    faults = _run(scenario, first_frame_bytes=100)
+    assert faults == [MalformedFrame('frame of 1000 bytes')]
--- a/tests/wagtailline_platform/test_crowd.py
+++ b/tests/wagtailline_platform/test_crowd.py
@@ -43,7 +43,6 @@
         'requests without waiting, answers not read',
         'readiness without waiting, answers not read',
         'metrics without waiting, answers not read',
-        'frames between daemons that stay incomplete',
         'silent',
         'idle',
         'incomplete',
