--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
@@ -9,6 +9,7 @@
 
 from wagtailline.client_limits import ClientLimits
 from wagtailline.codec import FrameFault
+from wagtailline.read_turns import ReadTurns
 from wagtailline.request_memory import RequestMemory
 from wagtailline_daemon.events import open_event_log
 from wagtailline_sidecar.body_memory import BodyMemory
@@ -109,5 +110,6 @@
     return ListenerResources(
         bodies,
         requests,
+        ReadTurns(),
         ClientLimits(clock, telemetry.count_client_limit, telemetry.observe),
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_request_parser.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_request_parser.py
@@ -41,8 +41,8 @@
 class RequestParser:
     """Parser of the requests of one connection.
 
-    ``body`` is the body that is being received. What is held of unfinished
-    heads is counted in a memory.
+    ``body`` is the body that is being received, ``parts`` counts headers and
+    parts of bodies. What is held of unfinished heads is counted in a memory.
     """
 
     def __init__(
@@ -59,6 +59,7 @@
         """
         self.head = IncomingHead()
         self.body: RequestBody | None = None
+        self.parts = 0
         self._handler = handler
         self._limits = limits
         self._memory = memory
@@ -144,6 +145,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; ignore trailers, which follow the body."""
+        self.parts += 1
         if self.body is None:
             self.head.add_header(name, value)
 
@@ -163,6 +165,7 @@
 
     def on_body(self, content: bytes) -> None:
         """Pass on a part of the body."""
+        self.parts += 1
         if self.body is not None:
             self.body.feed(content)
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -45,6 +45,8 @@
 # Bytes up to this limit are held behind requests that wait, so that the end of
 # the stream is seen.
 MAX_HELD_BYTES = 64 * 1024
+# Bytes that are read at once.
+MAX_READ_BYTES = 16 * 1024
 _REQUEST_TIMEOUT = 408
 _RETRY_HEADERS: Headers = ((b'retry-after', b'1'),)
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -74,6 +76,8 @@
 class ServerConnection(PacedProtocol):
     """Protocol that takes requests and sends the responses in order."""
 
+    max_read_bytes = MAX_READ_BYTES
+
     def __init__(self, services: ConnectionServices) -> None:
         """Set up a connection that runs the handler in a task per request.
 
@@ -81,6 +85,7 @@
         """
         self._services = services
         self._resources = services.resources
+        self.read_turns = self._resources.read_turns
         self._limits = services.limits
         self._writer = ResponseWriter(self._resources.body_memory, self.abort)
         memory = self._resources.request_memory
@@ -126,6 +131,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes in slices; hold what has to wait."""
         parser = self._parser
+        parts_before = parser.parts
         start = 0
         while start < len(data) and not parser.is_stopped:
             if self._is_full and parser.body is None:
@@ -134,6 +140,7 @@
             end = start + parser.find_slice_bytes()
             parser.parse(data[start:end])
             start = end
+        self.read_parts += parser.parts - parts_before
         self._follow_head()
 
     def pause_writing(self) -> None:
@@ -296,7 +303,7 @@
         self, request: IncomingRequest, exchange: Exchange
     ) -> None:
         """Run the handler unless the client leaves before its turn."""
-        await self._services.turns.wait()
+        await self._services.turns.wait(len(request.headers))
         await self._services.handler(request, exchange)
 
     def _end_requests(self) -> None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/turns.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/turns.py
@@ -6,6 +6,8 @@
 
 # The loop reads its sockets again after so many starts.
 MAX_STARTS_PER_ITERATION = 8
+# The start of a request counts once more for so many headers.
+HEADERS_PER_START = 64
 
 
 def _ignore_delay(seconds: float) -> None:
@@ -28,15 +30,19 @@
         ``observe_delay`` is called with the seconds that each task waited.
         """
         self._observe_delay = observe_delay
-        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._waiting: deque[tuple[asyncio.Future[None], int]] = deque()
         self._is_scheduled = False
 
-    async def wait(self) -> None:
-        """Wait for a turn, at least until the sockets were read once more."""
+    async def wait(self, headers: int = 0) -> None:
+        """Wait for a turn, at least until the sockets were read once more.
+
+        ``headers`` is the number of headers of the request, which is most of
+        the work that it makes.
+        """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         turn: asyncio.Future[None] = loop.create_future()
-        self._waiting.append(turn)
+        self._waiting.append((turn, 1 + headers // HEADERS_PER_START))
         if not self._is_scheduled:
             self._is_scheduled = True
             loop.call_soon(self._grant_turns)
@@ -46,10 +52,10 @@
     def _grant_turns(self) -> None:
         granted = 0
         while self._waiting and granted < MAX_STARTS_PER_ITERATION:
-            turn = self._waiting.popleft()
+            turn, starts = self._waiting.popleft()
             if not turn.done():
                 turn.set_result(None)
-                granted += 1
+                granted += starts
         self._is_scheduled = bool(self._waiting)
         if self._is_scheduled:
             asyncio.get_running_loop().call_soon(self._grant_turns)
--- a/packages/wagtailline-sidecar/tests/test_turns.py
+++ b/packages/wagtailline-sidecar/tests/test_turns.py
@@ -3,7 +3,11 @@
 import asyncio
 from itertools import pairwise
 
-from wagtailline_sidecar.turns import MAX_STARTS_PER_ITERATION, Turns
+from wagtailline_sidecar.turns import (
+    HEADERS_PER_START,
+    MAX_STARTS_PER_ITERATION,
+    Turns,
+)
 
 
 async def start(turns: Turns, started: list[int], number: int) -> None:
@@ -63,3 +67,21 @@
     await start(Turns(delays.append), [], 0)
     assert len(delays) == 1
     assert delays[0] >= 0
+
+
+async def test_requests_with_many_headers_start_one_at_a_time():
+    """Guards against an iteration that starts only expensive requests."""
+    turns = Turns()
+    started: list[int] = []
+
+    async def start_large(number: int) -> None:
+        await turns.wait(headers=MAX_STARTS_PER_ITERATION * HEADERS_PER_START)
+        started.append(number)
+
+    tasks = [asyncio.ensure_future(start_large(n)) for n in range(10)]
+    counts = []
+    while len(started) < len(tasks):
+        await asyncio.sleep(0)
+        counts.append(len(started))
+    steps = [after - before for before, after in pairwise([0, *counts])]
+    assert max(steps) == 1
--- /dev/null
+++ b/packages/wagtailline/tests/test_read_turns.py
@@ -0,0 +1,30 @@
+"""Tests of the turns in which connections are read."""
+
+import asyncio
+
+from wagtailline.read_turns import ReadTurns
+
+
+class Reader:
+    """Reader that always has more to read."""
+
+    def __init__(self, turns: ReadTurns, read: list['Reader']) -> None:
+        self._turns = turns
+        self._read = read
+
+    def end_wait(self) -> None:
+        self._read.append(self)
+        self._turns.add(self)
+
+
+async def test_one_connection_is_read_in_each_iteration():
+    """Guards against iterations that grow with the number of connections."""
+    turns, read = ReadTurns(), []
+    readers = [Reader(turns, read) for _ in range(40)]
+    for reader in readers:
+        turns.add(reader)
+    for iteration in range(1, 81):
+        await asyncio.sleep(0)
+        assert len(read) <= iteration
+    assert read[:40] == readers
+    assert read[40:80] == readers
