--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_request_parser.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_request_parser.py
@@ -67,6 +67,7 @@
         self._held = bytearray()
         self._parser = httptools.HttpRequestParser(self)
         self._body_bytes = 0
+        self._bytes_without_progress = 0
         self._accepts_requests = True
         self._is_stopped = False
 
@@ -99,6 +100,7 @@
     def parse(self, content: bytes) -> None:
         """Parse a part of the input and check the limits."""
         self.head.begin_input()
+        self._bytes_without_progress += len(content)
         try:
             self._parser.feed_data(content)
         except httptools.HttpParserUpgrade:
@@ -160,12 +162,14 @@
             self._handler.refuse(status)
             return
         self._body_bytes = find_content_length(head)
+        self._bytes_without_progress = 0
         method = self._parser.get_method().decode('latin-1')
         self.body = self._handler.start_request(method, head)
 
     def on_body(self, content: bytes) -> None:
         """Pass on a part of the body."""
         self.parts += 1
+        self._bytes_without_progress = 0
         if self.body is not None:
             self.body.feed(content)
 
@@ -185,13 +189,19 @@
             self.stop()
 
     def _settle_body(self) -> None:
-        """Count what has arrived; end a body that is too large."""
+        """Count what has arrived; end a body or trailers that are too large.
+
+        Bytes without progress are those of trailers and of the extension of a
+        chunk, of which the parser may hold some.
+        """
         if self.body is None:
             return
         self.body.settle()
         limits = self._limits()
         if self.body.received_bytes > limits.body_bytes:
             self._handler.reset(ClientLimit.BODY_SIZE)
+        elif self._bytes_without_progress > limits.head_bytes:
+            self._handler.reset(ClientLimit.TRAILER_SIZE)
 
     def _check_incomplete_head(self) -> None:
         """Refuse a head that is too large before its end."""
--- a/packages/wagtailline-sidecar/tests/test_client_limits.py
+++ b/packages/wagtailline-sidecar/tests/test_client_limits.py
@@ -19,6 +19,7 @@
 )
 from wagtailline_sidecar.model import IngressLimits
 
+CHUNKED = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
 DEFAULTS = IngressLimits()
 LIMITS = IngressLimits(head_timeout_seconds=0.2, idle_timeout_seconds=0.5)
 
@@ -75,6 +76,33 @@
     await running.listener.stop()
 
 
+@pytest.mark.parametrize(
+    'rest',
+    [
+        b'0\r\na: ' + b'x' * 40_000,
+        b'0\r\n' + b'a:\r\n' * 10_000,
+        b'5' + b';x' * 20_000,
+    ],
+)
+async def test_body_that_ends_without_end_is_reset(daemon, rest):
+    """Guards against trailers and extensions that a parser keeps or skips."""
+    client = await daemon.connect()
+    client.send(CHUNKED + b'5\r\nhello\r\n' + rest)
+    with pytest.raises(ConnectionError):
+        assert not await client.read_rest()
+        raise ConnectionResetError
+    assert daemon.met == [ClientLimit.TRAILER_SIZE]
+
+
+async def test_trailers_within_the_limit_are_accepted(daemon):
+    """Guards against a limit that ordinary trailers meet."""
+    client = await daemon.connect()
+    client.send(CHUNKED + b'5\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\n' + get('/2'))
+    for _ in range(2):
+        assert (await client.read_response())[0] == 200
+    assert not daemon.met
+
+
 @pytest.mark.parametrize(
     ('requests', 'start'),
     [(0, b'GET / HT'), (1, b'GET / HT')],
