--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_incoming_head.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_incoming_head.py
@@ -6,13 +6,16 @@
 
 # The colon and the end of a header line.
 _LINE_BYTES = len(':\r\n')
+# Bytes before a request that begin no head yet: two empty lines.
+MAX_STRAY_BYTES = len('\r\n\r\n')
 
 
 class IncomingHead:
     """Target and headers of the request head that is being received.
 
     ``is_open`` tells whether a head has begun and is not complete. ``target``
-    and ``headers`` are what has been parsed of it.
+    and ``headers`` are what has been parsed of it. Empty lines before a
+    request belong to its head.
     """
 
     def __init__(self) -> None:
@@ -42,7 +45,7 @@
     @property
     def is_awaited(self) -> bool:
         """Return whether the client has begun a head that is not complete."""
-        return self.is_open
+        return self.is_open or self._received_bytes > MAX_STRAY_BYTES
 
     def begin(self) -> None:
         """Begin the head of the next request."""
@@ -88,9 +91,9 @@
     def end_input(self, received_bytes: int) -> None:
         """Count received bytes that belong to a head, parsed or not.
 
-        The parser buffers an incomplete header. After the end of a message the
-        bytes of the next head are not told from those of the body, so only
-        parsed ones are counted.
+        The parser buffers an incomplete header and ignores empty lines before
+        a head. After the end of a message the bytes of the next head are not
+        told from those of the body, so only parsed ones are counted.
         """
-        if self.is_open and not self._has_message_ended:
+        if not self._has_message_ended:
             self._received_bytes += received_bytes
--- a/packages/wagtailline-sidecar/tests/test_client_limits.py
+++ b/packages/wagtailline-sidecar/tests/test_client_limits.py
@@ -103,9 +103,25 @@
     assert not daemon.met
 
 
+async def test_empty_lines_without_end_are_refused(daemon):
+    """Guards against a client that is never refused."""
+    client = await daemon.connect()
+    client.send(b'\r\n' * 10_000)
+    assert (await client.read_response())[0] == 431
+    assert daemon.met == [ClientLimit.HEAD_SIZE]
+
+
+async def test_few_empty_lines_are_ignored(daemon):
+    """Guards against clients that end a body with an empty line."""
+    client = await daemon.connect()
+    for _ in range(3):
+        client.send(b'\r\n' + get('/'))
+        assert (await client.read_response())[0] == 200
+
+
 @pytest.mark.parametrize(
     ('requests', 'start'),
-    [(0, b'GET / HT'), (1, b'GET / HT')],
+    [(0, b'\r\n\r\n\r\n'), (0, b'GET / HT'), (1, b'GET / HT')],
 )
 async def test_head_that_is_not_continued_is_refused(
     quick_daemon, requests, start
