--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_exchange.py
@@ -14,6 +14,7 @@
 from wagtailline_sidecar.body_memory import (
     MAX_PART_BYTES,
     BodyBuffer,
+    Holding,
     make_unlimited_memory,
 )
 from wagtailline_sidecar.http_messages import (
@@ -123,6 +124,9 @@
     def finish(self, exchange: 'Exchange', keep_alive: bool) -> None:
         """Continue with the next request after the response."""
 
+    def hold_answer(self, size_bytes: int) -> Holding:
+        """Count the bytes of a response that waits for earlier ones."""
+
     def abort(self) -> None:
         """Reset the connection."""
 
@@ -169,7 +173,8 @@
         self, status: int, headers: Headers, content: bytes
     ) -> None:
         """Write a response whose whole body is in memory."""
-        await self._start_response()
+        await self._wait_for_earlier(len(content))
+        self._start_response()
         framing = [(CONTENT_LENGTH, b'%d' % len(content))]
         head = encode_response(status, self._add_framing(headers, framing))
         payload = content if has_body(self._method, status) else b''
@@ -193,7 +198,8 @@
             await close_body(body)
 
     async def _stream(self, status: int, headers: Headers, body: Body) -> None:
-        await self._start_response()
+        await self._may_write.wait()
+        self._start_response()
         framing = [(TRANSFER_ENCODING, b'chunked')]
         head = encode_response(status, self._add_framing(headers, framing))
         await self._connection.write(head)
@@ -207,8 +213,17 @@
             return
         await self._connection.write(b'0\r\n\r\n')
 
-    async def _start_response(self) -> None:
-        await self._may_write.wait()
+    async def _wait_for_earlier(self, size_bytes: int) -> None:
+        """Wait for the earlier responses, which the client may not read."""
+        if self._may_write.is_set():
+            return
+        holding = self._connection.hold_answer(size_bytes)
+        try:
+            await self._may_write.wait()
+        finally:
+            holding.close()
+
+    def _start_response(self) -> None:
         self.is_response_started = True
         if self._connection.is_closing and self._connection.is_last(self):
             # Clients treat requests behind a closing response as not
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -6,6 +6,7 @@
 
 from wagtailline.calls import Headers
 from wagtailline.client_limits import ClientLimit
+from wagtailline.memory_budget import Holding
 from wagtailline_sidecar._exchange import (
     BODY_HIGH_WATER_BYTES,
     Exchange,
@@ -87,7 +88,12 @@
         self._resources = services.resources
         self.read_turns = self._resources.read_turns
         self._limits = services.limits
-        self._writer = ResponseWriter(self._resources.body_memory, self.abort)
+        self._writer = ResponseWriter(
+            self._resources.body_memory,
+            self.abort,
+            lambda: self._limits().idle_timeout_seconds,
+            self._abort_unread,
+        )
         memory = self._resources.request_memory
         self._parser = RequestParser(
             self, services.limits, memory, self._discard_input
@@ -242,6 +248,12 @@
             self.data_received(self._parser.take_held())
         self._follow_last_request()
 
+    def hold_answer(self, size_bytes: int) -> Holding:
+        """Count the bytes of a response that waits for earlier ones."""
+        holding = Holding(self._resources.body_memory, self.abort)
+        holding.resize(size_bytes)
+        return holding
+
     def report_error(self, error: Exception) -> None:
         """Report an exception that the handler raised."""
         self._services.on_error(error)
@@ -314,6 +326,10 @@
             self._parser.body.fail()
         self._pipeline.cancel()
 
+    def _abort_unread(self) -> None:
+        self._report(ClientLimit.UNREAD_ANSWER)
+        self.abort()
+
     def _report(self, limit: ClientLimit) -> None:
         self._resources.client_limits.record(limit, self._peer)
 
--- a/packages/wagtailline-sidecar/tests/test_client_limits.py
+++ b/packages/wagtailline-sidecar/tests/test_client_limits.py
@@ -197,3 +197,51 @@
     await asyncio.sleep(0.1)
     assert not daemon.resources.request_memory.held_bytes
     assert not daemon.resources.body_memory.held_bytes
+
+
+async def test_answer_that_nobody_reads_is_ended(quick_daemon):
+    """Guards against answers that wait for ever for a client to read."""
+    content = bytes(8 * 1024 * 1024)
+
+    async def answer(request, exchange) -> None:
+        await exchange.respond(200, (), content)
+
+    quick_daemon.handle = answer
+    listener = HttpListener(
+        Address(HOST, 0),
+        answer,
+        print,
+        lambda: LIMITS,
+        resources=quick_daemon.resources,
+    )
+    await listener.start()
+    client = await connect(listener.address.port)
+    client.send(get('/'))
+    await asyncio.sleep(1)
+    assert ClientLimit.UNREAD_ANSWER in quick_daemon.met
+    assert not quick_daemon.resources.body_memory.held_bytes
+    await listener.stop()
+
+
+async def test_answers_that_wait_for_an_earlier_one_are_counted(daemon):
+    """Guards against small answers that add up behind a slow request."""
+    release = asyncio.Event()
+
+    async def answer(request, exchange) -> None:
+        if request.target == '/slow':
+            await release.wait()
+        await exchange.respond(200, (), b'x' * 10_000)
+
+    listener = HttpListener(
+        Address(HOST, 0), answer, print, resources=daemon.resources
+    )
+    await listener.start()
+    client = await connect(listener.address.port)
+    client.send(get('/slow') + get('/') * 10)
+    await asyncio.sleep(0.1)
+    assert daemon.resources.body_memory.held_bytes == 100_000
+    release.set()
+    for _ in range(11):
+        assert (await client.read_response())[0] == 200
+    assert not daemon.resources.body_memory.held_bytes
+    await listener.stop()
