--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_gate.py
@@ -13,6 +13,7 @@
 from wagtailline_sidecar import bounds
 from wagtailline_sidecar._compose_core import CoreServices
 from wagtailline_sidecar.answer_link import AnswerLink
+from wagtailline_sidecar.bounded_calls import BoundedCalls
 from wagtailline_sidecar.gate import Gate
 from wagtailline_sidecar.gate_service import GateService
 from wagtailline_sidecar.local_upstream import LocalUpstream, UpstreamParts
@@ -74,7 +75,10 @@
     calls = PeerCalls(
         settings.vm,
         peers,
-        CallReporter(gate_service, nested_calls, core.names),
+        BoundedCalls(
+            CallReporter(gate_service, nested_calls, core.names),
+            core.resources.request_memory,
+        ),
         core.report_error,
         uplink,
     )
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarding_state.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarding_state.py
@@ -8,7 +8,13 @@
 
 # Refusals for these reasons do not indicate an unreachable endpoint.
 BUSY_REASONS = frozenset(
-    ('wait_too_long', 'queue_full', 'deadline', 'rate_limited')
+    (
+        'wait_too_long',
+        'queue_full',
+        'deadline',
+        'rate_limited',
+        'request_memory',
+    )
 )
 # Refusals for these reasons come from the upstream, not from its gate.
 UPSTREAM_REASONS = frozenset(('upstream_shed', 'wrong_instance'))
