--- a/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_daemon.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/composition/_daemon.py
@@ -7,6 +7,10 @@
 from wagtailline.admission import Gate
 from wagtailline.ports import Address
 from wagtailline_daemon.composition._calls import CallServices, build_calls
+from wagtailline_daemon.composition._client_limits import (
+    build_ingress_resources,
+    build_operator_resources,
+)
 from wagtailline_daemon.composition._control import (
     ControlServices,
     build_control,
@@ -121,6 +125,7 @@
     core: CoreServices, control: ControlServices, calls: CallServices
 ) -> None:
     settings = core.settings
+    resources = build_ingress_resources(core)
     application = build_operator_app(
         _build_status_board(core, control, calls),
         core.store,
@@ -130,14 +135,16 @@
     core.registry.register(
         'operator_http',
         HttpServer(
-            operator_config(application),
+            operator_config(application, build_operator_resources(resources)),
             Address(settings.operator_host, settings.operator_port),
         ),
     )
     core.registry.register(
         _INGRESS_SERVICE,
         HttpServer(
-            ingress_config(calls.ingress, settings.host, settings.http_port),
+            ingress_config(
+                calls.ingress, settings.host, settings.http_port, resources
+            ),
             Address(settings.host, settings.http_port),
         ),
     )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/__init__.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/__init__.py
@@ -5,6 +5,7 @@
     AllowanceRefusal,
     Ingress,
     IngressProtocol,
+    IngressResources,
     ingress_config,
 )
 from wagtailline_daemon.ingress._headers import digest_key
@@ -14,6 +15,7 @@
     'Ingress',
     'IngressAllowance',
     'IngressProtocol',
+    'IngressResources',
     'digest_key',
     'ingress_config',
 )
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_handler.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/ingress/_handler.py
@@ -32,6 +32,7 @@
 )
 from wagtailline_daemon.ingress._protocol import IngressProtocol
 from wagtailline_daemon.ingress._refusals import problem_status
+from wagtailline_daemon.ingress._resources import IngressResources
 from wagtailline_daemon.ingress._server import ingress_config
 from wagtailline_daemon.ingress._target import match_target
 
@@ -40,6 +41,7 @@
     'AllowanceRefusal',
     'Ingress',
     'IngressProtocol',
+    'IngressResources',
     'ingress_config',
 )
 
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/operators/_http_server.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/operators/_http_server.py
@@ -4,20 +4,28 @@
 import contextlib
 import socket
 from collections.abc import Iterator
+from functools import partial
 from typing import Any
 
 import uvicorn
 
 from wagtailline.ports import Address
+from wagtailline_daemon.ingress import IngressProtocol, IngressResources
 
 LISTEN_BACKLOG = 1024
 
 
-def operator_config(application: Any) -> uvicorn.Config:
-    """Return the uvicorn configuration of the operator port."""
+def operator_config(
+    application: Any, resources: IngressResources
+) -> uvicorn.Config:
+    """Return the uvicorn configuration of the operator port.
+
+    Its connections are bounded like those of the ingress, in ``resources``.
+    """
+    protocol: Any = partial(IngressProtocol, resources=resources)
     return uvicorn.Config(
         application,
-        http='httptools',
+        http=protocol,
         ws='none',
         lifespan='off',
         log_config=None,
--- a/packages/wagtailline-daemon/src/wagtailline_daemon/settings.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/settings.py
@@ -23,7 +23,8 @@
     The daemon listens on ``http_port`` for clients, on ``peer_port`` for other
     daemons and on ``operator_port`` for operators, and connects to the local
     upstream on ``upstream_port``. ``source_url`` is the base URL of the
-    configuration source.
+    configuration source. Clients have at most ``max_connections`` connections
+    open, or fewer if the process may have too few descriptors.
     """
 
     vm: Name
@@ -45,6 +46,7 @@
     trace_exporter: Literal['none', 'file', 'otlp'] = 'none'
     trace_target: str = ''
     trace_ratio: Ratio = 0.01
+    max_connections: Annotated[int, Meta(ge=16)] = 1900
 
     @property
     def peer_address(self) -> Address:
--- a/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
+++ b/packages/wagtailline-lab/src/wagtailline_lab/mesh.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import json
+import resource
 import signal
 import sys
 import tempfile
@@ -65,13 +66,15 @@
         """Set up a mesh with its published values, settings and logs on disk.
 
         All files are written below ``directory``. If no ports are given, a
-        free block is reserved.
+        free block is reserved. Daemons that start while ``max_descriptors`` is
+        set may have so many descriptors open.
         """
         self.deployment = deployment
         self.values = directory / 'values'
         self.platform = FakePlatform(self.values)
         self.members: list[MeshMember] = []
         self.set = make_set(deployment)
+        self.max_descriptors: int | None = None
         self._directory = directory
         port_count = 1 + len(self.set['endpoints']) * _PORTS_PER_DAEMON
         self._port_block = None if ports else reserve_ports(port_count)
@@ -145,8 +148,14 @@
                 stdout=log,
                 stderr=log,
                 start_new_session=True,
+                preexec_fn=self._limit_descriptors,
             )
 
+    def _limit_descriptors(self) -> None:
+        if self.max_descriptors is not None:
+            limits = self.max_descriptors, self.max_descriptors
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     async def _start_member(
         self, index: int, endpoint: dict[str, Any]
     ) -> MeshMember:
