--- a/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_exchange.py
+++ b/packages/wagtailline-daemon/src/wagtailline_daemon/upstream/_exchange.py
@@ -29,6 +29,7 @@
 MAX_BUFFERED_BODY_BYTES = 16 * 1024
 _CONTENT_LENGTH = 'Content-Length'
 _BODILESS_STATUSES = frozenset((204, 304))
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
 _MILLISECONDS_PER_SECOND = 1000
@@ -147,9 +148,11 @@
             raise UpstreamReset
         message, content = await protocol.read()
         while message.code < _FIRST_FINAL_STATUS:
-            if message.code == _SWITCHING_PROTOCOLS:
+            if not _is_interim(message):
                 raise MalformedAnswer
             message, content = await protocol.read()
+        if message.code not in _STATUSES:
+            raise MalformedAnswer
         body = await self._receive_body(message, content)
         return Answer(message.code, message.raw_headers, body)
 
@@ -209,6 +212,16 @@
             self._connection.release()
 
 
+def _is_interim(message: RawResponseMessage) -> bool:
+    """Return whether a final answer may follow a message that is none.
+
+    One with a length looks like the final answer, so none follows it.
+    """
+    has_length = message.chunked or _CONTENT_LENGTH in message.headers
+    is_known = message.code in _STATUSES
+    return is_known and not has_length and message.code != _SWITCHING_PROTOCOLS
+
+
 class _AnswerBody:
     """Body of an answer; closing it early closes the connection."""
 
--- a/packages/wagtailline-daemon/tests/upstream/test_client.py
+++ b/packages/wagtailline-daemon/tests/upstream/test_client.py
@@ -122,6 +122,14 @@
     assert observed == expected
 
 
+@pytest.mark.parametrize('status', ['000', '001', '099', '199', '600', '999'])
+def test_number_that_is_no_status_is_refused_at_once(status):
+    """A caller must not get it as a status, nor wait until its deadline."""
+    answer = f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok'.encode()
+    observed, _ = _run(_get, (answer,), closes_after_answer=False)
+    assert observed == Refusal('upstream_malformed', 'unknown')
+
+
 def test_call_without_a_listener_did_not_run():
     """A call that could not connect is safe to repeat and must say so."""
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_response_reader.py
@@ -28,6 +28,7 @@
 )
 
 _CLOSE = b'close'
+_STATUSES = range(100, 600)
 _FIRST_FINAL_STATUS = 200
 _SWITCHING_PROTOCOLS = 101
 # Latest requests of a connection whose copies are expected.
@@ -152,12 +153,13 @@
         self._reject_torn(phrase)
         status = self._parser.get_status_code()
         headers, self._headers = tuple(self._headers), []
-        if status == _SWITCHING_PROTOCOLS:
+        if status not in _STATUSES or status == _SWITCHING_PROTOCOLS:
             raise self._reject(RejectionReason.MALFORMED)
         if self.is_complete or self.request is None:
             raise self._reject(RejectionReason.SURPLUS)
         self._is_skipping = status < _FIRST_FINAL_STATUS
         if self._is_skipping:
+            self._reject_final(headers)
             return
         if self._is_foreign(headers):
             self._skip_foreign(
@@ -194,6 +196,19 @@
         if contains_status_line(field):
             raise self._reject(RejectionReason.TORN)
 
+    def _reject_final(self, headers: Headers) -> None:
+        """Reject an interim response that looks like the final one.
+
+        None that is final follows it, so the request would wait in vain.
+        """
+        echo_header = self.request.echo_header if self.request else None
+        names_request = (
+            echo_header is not None
+            and find_header(headers, echo_header[0]) is not None
+        )
+        if names_request or _has_framing(headers):
+            raise self._reject(RejectionReason.MALFORMED)
+
     def _skip_foreign(self, *, has_end: bool) -> None:
         self._is_skipping = True
         self.must_close = True
--- a/packages/wagtailline-sidecar/tests/test_upstream.py
+++ b/packages/wagtailline-sidecar/tests/test_upstream.py
@@ -389,3 +389,34 @@
     report = await upstream.check_health('/health')
     server.close()
     assert report.warm_up_seconds == 0
+
+
+@pytest.mark.parametrize('status', ['000', '001', '099', '199', '600', '999'])
+async def test_number_that_is_no_status_is_refused_at_once(status):
+    """Guards against numbers that callers get as a status.
+
+    Those below 200 were taken for interim responses, so their requests waited
+    for a final one until their deadline.
+    """
+    async with asyncio.timeout(5):
+        outcome, _ = await run(f'{status} X', 'Seal: s')
+    assert outcome == Err(Refusal('upstream_malformed', 'unknown'))
+
+
+async def test_interim_response_that_names_the_request_is_refused_at_once():
+    """Guards against a request that waits for a response that can't come."""
+
+    name = HeaderNames().request_id
+
+    async def script(reader, writer):
+        await read_head(reader)
+        writer.write(b'HTTP/1.1 199 X\r\n%b: own\r\n\r\n' % name)
+        await reader.read()
+
+    server, address = await serve_script(script)
+    upstream = Upstream(address, HeaderNames(), BootClock())
+    request = REQUEST._replace(headers=((name, b'own'),))
+    async with asyncio.timeout(5):
+        outcome = await upstream.run(request, WholeBody(), 0.5)
+    assert outcome == Err(Refusal('upstream_malformed', 'unknown'))
+    server.close()
--- a/packages/wagtailline/src/wagtailline/calls/_types.py
+++ b/packages/wagtailline/src/wagtailline/calls/_types.py
@@ -11,7 +11,7 @@
 Executed = Literal['no', 'unknown']
 Milliseconds = Annotated[int, Meta(ge=0, le=2**53)]
 Load = Annotated[float, Meta(ge=0, le=86_400)]
-Status = Annotated[int, Meta(ge=100, le=999)]
+Status = Annotated[int, Meta(ge=200, le=599)]
 Depth = Annotated[int, Meta(ge=0, le=1000)]
 
 
