--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_embedded_heads.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_embedded_heads.py
@@ -5,6 +5,7 @@
 from functools import lru_cache
 
 _STATUS_LINE = re.compile(rb'HTTP/1\.[01] \d{3}')
+_BLANKS = b' \t'
 _STATUS_LINE_BYTES = len('HTTP/1.1 200')
 # Largest distance between the status line and the name of the request.
 _MAX_HEAD_BYTES = 4096
@@ -38,7 +39,7 @@
         begin = max(first.start(), len(window) - _MAX_HEAD_BYTES)
         self._tail = window[begin:]
         return any(
-            match.group(1) in self._request_ids
+            match.group(1).strip(_BLANKS) in self._request_ids
             and self._is_in_head(window, match.start())
             for match in self._pattern.finditer(window, first.end())
         )
@@ -53,7 +54,7 @@
         if first is None or first.start() >= len(self._tail):
             return False
         return first.end() > len(self._tail) or any(
-            match.group(1) in self._request_ids
+            match.group(1).strip(_BLANKS) in self._request_ids
             for match in self._pattern.finditer(window, first.end())
         )
 
@@ -64,8 +65,12 @@
 
 @lru_cache(maxsize=8)
 def _compile_name(name: bytes) -> re.Pattern[bytes]:
-    """Return the pattern of a header line, whose group 1 is the value."""
+    """Return the pattern of a header line, whose group 1 is the value.
+
+    The value may have blanks around it: a pattern that excludes them takes
+    the third power of the length of a run of blanks.
+    """
     return re.compile(
-        rb'\r\n%b:[ \t]*([^\r\n]+?)[ \t]*\r\n' % re.escape(name),
+        rb'\r\n%b:([^\r\n]+)\r\n' % re.escape(name),
         re.IGNORECASE,
     )
