--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_ingress.py
@@ -35,6 +35,13 @@
     reporter: DemandReporter
 
 
+class IngressServices(NamedTuple):
+    """Listener for requests of clients, and their handler."""
+
+    listener: HttpListener
+    handler: Ingress
+
+
 def build_quota_services(core: CoreServices) -> QuotaServices:
     """Create the quotas and update them with each snapshot."""
     datagrams = DatagramEndpoint(
@@ -86,7 +93,7 @@
     quota_services: QuotaServices,
     nested_calls: NestedCalls,
     stops_at: Callable[[], float],
-) -> HttpListener:
+) -> IngressServices:
     """Create the listener for requests of clients and of the local upstream."""
     dependencies = IngressDependencies(
         core.snapshots,
@@ -118,7 +125,7 @@
         snapshot = core.snapshots.current
         return snapshot.configuration.limits if snapshot else IngressLimits()
 
-    return HttpListener(
+    listener = HttpListener(
         parse_address(core.settings.ingress),
         handler,
         core.report_error,
@@ -127,6 +134,7 @@
         core.resources,
         find_max_connections(core.settings.max_connections),
     )
+    return IngressServices(listener, handler)
 
 
 def _build_forwarder(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -33,14 +33,14 @@
     quota_services = build_quota_services(core)
     gate_services = build_gate_services(core, nested_calls)
     readiness = Readiness(core.snapshots)
-    ingress = build_ingress(
+    listener, handler = build_ingress(
         core,
         gate_services.calls,
         quota_services,
         nested_calls,
         lambda: readiness.stops_at,
     )
-    core.telemetry.show_connections(lambda: ingress.connections)
+    core.telemetry.show_connections(lambda: listener.connections)
     services: dict[str, object] = {
         'settings': core.watch,
         'source_reader': _build_reader(core, source, gate_services),
@@ -49,7 +49,7 @@
         'peer_calls': gate_services.calls,
         'notices': quota_services.datagrams,
         'demand_reporter': quota_services.reporter,
-        'ingress': ingress,
+        'ingress': listener,
         **_build_status_listeners(core, readiness),
     }
     registry = ServiceRegistry()
@@ -61,8 +61,9 @@
         core.telemetry,
         gate_services.gate,
         gate_services.calls,
-        ingress,
+        listener,
         readiness,
+        handler.end_requests,
     )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from contextlib import suppress
 from typing import NamedTuple
 
@@ -24,6 +25,8 @@
 
 GATE_STOPPING = 'gate_stopping'
 _DRAIN_POLL_SECONDS = 0.05
+# Time to send the answers to requests that have not ended in time.
+_LAST_ANSWERS_SECONDS = 0.3
 
 
 class Readiness:
@@ -54,6 +57,7 @@
     calls: PeerCalls
     ingress: HttpListener
     readiness: Readiness
+    end_requests: Callable[[], None]
 
     async def start(self) -> None:
         """Start every service; raise OSError if an address is in use."""
@@ -78,6 +82,7 @@
                 await asyncio.sleep(find_traffic_shift_seconds(settings))
                 self.readiness.stops_at = stops_at
                 await self._drain()
+        await self._answer_rest()
         self.telemetry.observe(
             DaemonStopped(
                 settings.vm, self.ingress.in_progress, self.calls.in_progress
@@ -85,6 +90,13 @@
         )
         await self.registry.stop()
 
+    async def _answer_rest(self) -> None:
+        """Answer the requests that have not ended in time."""
+        self.end_requests()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_LAST_ANSWERS_SECONDS):
+                await self._drain()
+
     async def _drain(self) -> None:
         self.ingress.close_idle()
         while True:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarding_state.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarding_state.py
@@ -66,6 +66,7 @@
         self.upstream_attempts = 0
         self.gate_refusals = 0
         self.is_sent = False
+        self.is_ended = False
         self.may_have_run = False
         self.last_refusal = Refusal('no_endpoint', 'no')
         self._shortest_wait_ms = 0
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/ingress.py
@@ -85,6 +85,7 @@
         ``memory``.
         """
         self.memory = make_unlimited_memory()
+        self._in_progress: dict[ForwardingState, asyncio.Task[None]] = {}
         self._dependencies = dependencies
         self._names = names
         self._service = service.encode()
@@ -102,6 +103,15 @@
             case Err(refusal):
                 await self._refuse(request, None, refusal, exchange)
 
+    def end_requests(self) -> None:
+        """Answer the requests in progress now, as the daemon is about to end.
+
+        Those whose response has begun are not affected.
+        """
+        for state, task in tuple(self._in_progress.items()):
+            state.is_ended = True
+            task.cancel()
+
     async def _handle_admitted(
         self, request: IncomingRequest, admitted: Admitted, exchange: Exchange
     ) -> None:
@@ -111,10 +121,9 @@
         remaining_seconds = admitted.deadline - self._clock.monotonic()
         try:
             with Deadline(remaining_seconds):
-                outcome = await self._forward(request, state)
+                outcome = await self._forward_until_end(request, state)
         except TimeoutError:
-            executed: Executed = 'unknown' if state.is_sent else 'no'
-            outcome = Err(Refusal('deadline', executed))
+            outcome = Err(Refusal('deadline', _may_have_run(state)))
         except BodyTruncated:
             outcome = Err(Refusal('body_truncated', 'unknown'))
         except asyncio.CancelledError:
@@ -131,6 +140,24 @@
                     self._dependencies.quotas.refund(admitted.account)
                 await self._refuse(request, state, refusal, exchange)
 
+    async def _forward_until_end(
+        self, request: IncomingRequest, state: ForwardingState
+    ) -> Result[Answer, Refusal]:
+        """Forward a request unless the daemon ends before its response."""
+        task = asyncio.current_task()
+        if task is None:
+            return await self._forward(request, state)
+        self._in_progress[state] = task
+        try:
+            return await self._forward(request, state)
+        except asyncio.CancelledError:
+            if not state.is_ended:
+                raise
+            task.uncancel()
+            return Err(Refusal('daemon_stopping', _may_have_run(state)))
+        finally:
+            self._in_progress.pop(state, None)
+
     async def _forward(
         self, request: IncomingRequest, state: ForwardingState
     ) -> Result[Answer, Refusal]:
@@ -211,6 +238,10 @@
         )
 
 
+def _may_have_run(state: ForwardingState) -> Executed:
+    return 'unknown' if state.is_sent else 'no'
+
+
 def _reason(outcome: Answer | Refusal) -> str:
     match outcome:
         case Answer():
--- /dev/null
+++ b/tests/wagtailline_platform/test_end_of_stop.py
@@ -0,0 +1,43 @@
+"""End-to-end tests of requests that outlast a planned stop."""
+
+import asyncio
+import signal
+
+import pytest
+from _daemons import Fleet, make_configuration, send_request
+
+GRACE_SECONDS = 1
+WORK_SECONDS = 30
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    running_fleet = Fleet(tmp_path)
+    yield running_fleet
+    await running_fleet.stop()
+
+
+async def test_request_that_outlasts_the_stop_is_answered(fleet):
+    """Guards against requests that are dropped with their process (LOST).
+
+    The answer says that the request may have run.
+    """
+    await fleet.start(1)
+    vm = fleet.vms[0]
+    configuration = make_configuration(2)
+    route = configuration['routes']['order']
+    route |= {'timeoutMs': 20_000, 'sloMs': 20_000}
+    fleet.platform.put('op/config', configuration)
+    vm.write_settings(grace_seconds=GRACE_SECONDS)
+    vm.process.send_signal(signal.SIGHUP)
+    vm.upstream.service_seconds = WORK_SECONDS
+    await asyncio.sleep(2.5)
+    request = asyncio.ensure_future(
+        send_request(vm, '/order/1', request_id='one', method='POST')
+    )
+    while not fleet.runs('one'):  # noqa: ASYNC110
+        await asyncio.sleep(0.05)
+    vm.terminate()
+    status, _, body = await request
+    assert (status, b'"unknown"' in body) == (502, True)
+    assert await vm.process.wait() == 0
