--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
@@ -77,12 +77,13 @@
         stops_at = asyncio.get_running_loop().time() + find_stop_seconds(
             settings
         )
-        with suppress(TimeoutError):
+        try:
             async with asyncio.timeout_at(stops_at):
                 await asyncio.sleep(find_traffic_shift_seconds(settings))
                 self.readiness.stops_at = stops_at
                 await self._drain()
-        await self._answer_rest()
+        except TimeoutError:
+            await self._answer_rest()
         self.telemetry.observe(
             DaemonStopped(
                 settings.vm, self.ingress.in_progress, self.calls.in_progress
