Take a daemon's own freeze for no outage of the source

Cause: a daemon that reads the source kept all endpoints that were missing in its first reading for 2.5 s whenever more than 3 s had passed since the one before, as entries expire while the source is away. A VM that was frozen for 3.5 s passes that test though the source never was. Its peers follow the first daemon in their order again as soon as it runs, and its list has the revision that they know, so they used it.

Evidence: logs of the peers show picture_installed with 3 endpoints, 4 once the reader runs again, and 3 after 2.3 s more.

A daemon measures for how long it did not run (PauseMeter: a timer that is late, also one that is late at this moment), and that time is no part of the time without contact. The record of contacts is a part of its own (SourceOutages).

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
@@ -18,6 +18,7 @@
 from wagtailline_sidecar.header_names import HeaderNames
 from wagtailline_sidecar.listener_resources import ListenerResources
 from wagtailline_sidecar.log_output import RateLimitedOutput
+from wagtailline_sidecar.pauses import PauseMeter
 from wagtailline_sidecar.settings import SidecarSettings
 from wagtailline_sidecar.settings_watch import SettingsWatch
 from wagtailline_sidecar.snapshot import SnapshotStore
@@ -40,6 +41,7 @@
     snapshots: SnapshotStore
     incarnation: int
     resources: ListenerResources
+    pauses: PauseMeter
 
     @property
     def memory(self) -> BodyMemory:
@@ -87,15 +89,17 @@
     events = open_event_log(settings.log_level, output, output.admit)
     telemetry = Telemetry(events)
     clock = BootClock()
+    pauses = PauseMeter(clock, telemetry.observe)
     return CoreServices(
         SettingsWatch(path, settings, telemetry.observe),
         names,
         clock,
         Random(),
         telemetry,
-        SnapshotStore(clock, telemetry.observe),
+        SnapshotStore(clock, telemetry.observe, pauses.measure_since),
         int(time.time() * _MILLISECONDS_PER_SECOND),
         _build_resources(clock, telemetry),
+        pauses,
     )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/composition.py
@@ -43,6 +43,7 @@
     core.telemetry.show_connections(lambda: listener.connections)
     services: dict[str, object] = {
         'settings': core.watch,
+        'pauses': core.pauses,
         'source_reader': _build_reader(core, source, gate_services),
         'local_upstream': gate_services.local,
         'peers': gate_services.peers,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -1,27 +1,20 @@
 """Store of the snapshot in force and the time it was last confirmed."""
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from wagtailline.ports import Address
 from wagtailline_sidecar.checks import ConfigurationFault, check_configuration
 from wagtailline_sidecar.model import Configuration, Endpoint, Snapshot
 from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.routing import RouteTable
+from wagtailline_sidecar.source_outages import (
+    SourceOutages,
+    TimeSource,
+    measure_no_pause,
+)
 from wagtailline_sidecar.supervision import describe_failure
 
-# After an outage of the source, endpoints register again within about 2 s.
-REGISTRATION_GRACE_SECONDS = 2.5
-# A longer interval between readings is treated as an outage of the source.
-OUTAGE_THRESHOLD_SECONDS = 3.0
-
-
-class TimeSource(Protocol):
-    """Clock that reports the time since boot, in seconds."""
-
-    def boot(self) -> float:
-        """Return the time since boot, including suspended time."""
-
 
 class PictureInstalled(NamedTuple):
     """Event: a new version or a changed set of endpoints is in force."""
@@ -44,18 +37,24 @@
     """Store of the snapshot in force; versions and revisions never decrease."""
 
     def __init__(
-        self, clock: TimeSource, observe: Callable[[NamedTuple], None]
+        self,
+        clock: TimeSource,
+        observe: Callable[[NamedTuple], None],
+        measure_pauses: Callable[[float], float] = measure_no_pause,
     ) -> None:
-        """Start without a snapshot; the first reading installs one."""
+        """Start without a snapshot; the first reading installs one.
+
+        ``measure_pauses`` returns for how many seconds the process did not run
+        since a time since boot.
+        """
         self._clock = clock
         self._observe = observe
+        self._outages = SourceOutages(clock, observe, measure_pauses)
         self._snapshot: Snapshot | None = None
         self._route_table: RouteTable | None = None
         self._confirmed_at = float('-inf')
         self._refreshed_at = float('-inf')
-        self._contacted_at = float('-inf')
         self._endpoints_revision = 0
-        self._outage_ended_at = float('-inf')
         self._listeners: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[], None]] = []
         self._refused_version = 0
@@ -120,9 +119,11 @@
         if is_older and has_older_endpoints:
             return
         is_own_reading = refreshed_at is None
-        self._record_contact(requested_at, may_end_outage=is_own_reading)
         if refreshed_at is None:
+            self._outages.record_reading(requested_at)
             refreshed_at = self._clock.boot()
+        else:
+            self._outages.record_peer(requested_at)
         if previous is not None and is_older:
             reading = reading._replace(
                 revision=previous.revision,
@@ -155,7 +156,7 @@
         previous = self._snapshot
         if previous is None or early.revision < self._endpoints_revision:
             return
-        self._record_contact(early.requested_at, may_end_outage=True)
+        self._outages.record_reading(early.requested_at)
         endpoints = self._select_endpoints(
             early.endpoints, early.revision, may_add=True
         )
@@ -163,19 +164,6 @@
             previous._replace(endpoints=endpoints), self._clock.boot()
         )
 
-    def _record_contact(
-        self, requested_at: float, *, may_end_outage: bool
-    ) -> None:
-        """Note an answer of the source, maybe the first after an outage.
-
-        A peer that succeeds shows that the source was not away.
-        """
-        away_seconds = requested_at - self._contacted_at
-        is_outage = may_end_outage and away_seconds > OUTAGE_THRESHOLD_SECONDS
-        if self._snapshot is not None and is_outage:
-            self._outage_ended_at = self._clock.boot()
-        self._contacted_at = max(self._contacted_at, requested_at)
-
     def _select_endpoints(
         self, offered: tuple[Endpoint, ...], revision: int, *, may_add: bool
     ) -> tuple[Endpoint, ...]:
@@ -268,8 +256,7 @@
         They are retained until they have had time to register again.
         """
         previous = self._snapshot.endpoints if self._snapshot else ()
-        now = self._clock.boot()
-        if now - self._outage_ended_at > REGISTRATION_GRACE_SECONDS:
+        if not self._outages.is_recent:
             return listed
         listed_identities = {endpoint.identity for endpoint in listed}
         listed_addresses = {endpoint.address for endpoint in listed}
--- /dev/null
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
@@ -0,0 +1,90 @@
+"""Outages of the source, as far as this daemon can tell."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+# After an outage of the source, endpoints register again within about 2 s.
+REGISTRATION_GRACE_SECONDS = 2.5
+# A longer interval between readings is treated as an outage of the source.
+OUTAGE_THRESHOLD_SECONDS = 3.0
+_NEVER = float('-inf')
+
+
+class OutageEnded(NamedTuple):
+    """Event: the source answers again, after no contact with it for a while.
+
+    Endpoints whose entries have expired are retained from now on, for
+    ``REGISTRATION_GRACE_SECONDS``. ``paused_seconds`` are those in which this
+    daemon did not run itself; they are not part of ``away_seconds``.
+    """
+
+    away_seconds: float
+    paused_seconds: float
+
+
+class TimeSource(Protocol):
+    """Clock that reports the time since boot, in seconds."""
+
+    def boot(self) -> float:
+        """Return the time since boot, including suspended time."""
+
+
+def measure_no_pause(moment: float) -> float:
+    """Return the pauses since a time of a process that always runs."""
+    return 0
+
+
+class SourceOutages:
+    """Record of the contacts with the source, which tells its outages.
+
+    Time in which the daemon itself did not run is no outage.
+    """
+
+    def __init__(
+        self,
+        clock: TimeSource,
+        observe: Callable[[NamedTuple], None],
+        measure_pauses: Callable[[float], float] = measure_no_pause,
+    ) -> None:
+        """Start without a contact; the first one ends no outage.
+
+        ``measure_pauses`` returns for how many seconds the process did not run
+        since a time since boot.
+        """
+        self._clock = clock
+        self._observe = observe
+        self._measure_pauses = measure_pauses
+        self._contacted_at = _NEVER
+        self._ended_at = _NEVER
+
+    @property
+    def is_recent(self) -> bool:
+        """Return whether endpoints may still have to register again."""
+        elapsed_seconds = self._clock.boot() - self._ended_at
+        return elapsed_seconds <= REGISTRATION_GRACE_SECONDS
+
+    def record_reading(self, requested_at: float) -> None:
+        """Record a reading that was requested at the given time since boot."""
+        if self._contacted_at > _NEVER:
+            self._end_outage(requested_at)
+        self._record_contact(requested_at)
+
+    def record_peer(self, current_at: float) -> None:
+        """Record a snapshot of a peer that was current at a time since boot.
+
+        It shows that the source was not away.
+        """
+        self._record_contact(current_at)
+
+    def _end_outage(self, contacted_at: float) -> None:
+        paused_seconds = self._measure_pauses(self._contacted_at)
+        away_seconds = contacted_at - self._contacted_at - paused_seconds
+        if away_seconds <= OUTAGE_THRESHOLD_SECONDS:
+            return
+        self._ended_at = self._clock.boot()
+        self._observe(
+            OutageEnded(round(away_seconds, 3), round(paused_seconds, 3))
+        )
+
+    def _record_contact(self, contacted_at: float) -> None:
+        self._contacted_at = max(self._contacted_at, contacted_at)
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -1,6 +1,7 @@
 """Daemons of one data centre that refresh their snapshots."""
 
 import asyncio
+from functools import partial
 from random import Random
 
 from _fixtures import make_configuration, make_endpoint
@@ -51,6 +52,10 @@
         self.killed_hosts: set[str] = set()
         self.failing_sources: set[str] = set()
         self.failing_peers: set[str] = set()
+        self.cut_hosts: set[str] = set()
+        # Endpoints beside those of the hosts, by identity.
+        self.extra_endpoints: dict[str, Address] = {}
+        self.pauses: dict[str, list[tuple[float, float]]] = {}
         self.events: list = []
         self.stores: dict[str, SnapshotStore] = {}
         self.readers: dict[str, SourceReader] = {}
@@ -58,10 +63,15 @@
             self.add(host)
 
     def add(self, host: str) -> None:
-        snapshots = SnapshotStore(self.clock, self.events.append)
+        self.pauses[host] = []
+        snapshots = SnapshotStore(
+            self.clock,
+            self.events.append,
+            lambda moment: self.measure_pauses(host, moment),
+        )
         self.stores[host] = snapshots
         self.readers[host] = SourceReader(
-            Origins(_Source(self, host), self.fetch),
+            Origins(_Source(self, host), partial(self.fetch, host)),
             snapshots,
             Location(host, 'oslo-a'),
             self.clock,
@@ -70,11 +80,13 @@
             lambda: self.periods,
         )
 
-    async def fetch(self, host: str, max_wait_seconds: float) -> Result:
+    async def fetch(
+        self, caller: str, host: str, max_wait_seconds: float
+    ) -> Result:
         store = self.stores[host]
         if host in self.failing_peers:
             raise OverflowError('int too big to convert')
-        if host in self.killed_hosts:
+        if host in self.killed_hosts or self.cut_hosts & {caller, host}:
             await asyncio.sleep(max_wait_seconds + self.periods.reply_timeout)
             return Err(PeerUnavailable('TimeoutError'))
         confirmed_at = store.confirmed_at
@@ -91,6 +103,7 @@
             snapshot.configuration,
             snapshot.endpoints,
             snapshot.closed_data_centres,
+            store.endpoints_revision,
         )
         return Ok(PeerReading(reading, store.confirmed_at, store.refreshed_at))
 
@@ -106,6 +119,41 @@
         self.killed_hosts.add(host)
         await self.readers[host].stop()
 
+    async def freeze(self, host: str, seconds: float) -> None:
+        """Stop a daemon, which goes on with what it knew, for some time."""
+        frozen_at = self.clock.boot()
+        self.killed_hosts.add(host)
+        await self.readers[host].stop()
+        await asyncio.sleep(seconds)
+        self.killed_hosts.discard(host)
+        self.pauses[host].append((frozen_at, self.clock.boot()))
+        await self.readers[host].start()
+
+    def measure_pauses(self, host: str, moment: float) -> float:
+        return sum(
+            max(ended_at - max(began_at, moment), 0)
+            for began_at, ended_at in self.pauses[host]
+        )
+
+    def register(self, identity: str) -> None:
+        """Register one more endpoint on the last VM."""
+        port = 81 + len(self.extra_endpoints)
+        self.extra_endpoints[identity] = Address(self.hosts[-1], port)
+        self.publish()
+
+    def remove(self, identity: str) -> None:
+        self.extra_endpoints.pop(identity)
+        self.publish()
+
+    def find_listing_hosts(self, identity: str) -> set[str]:
+        """Return the daemons whose snapshots list an endpoint."""
+        return {
+            host
+            for host, snapshots in self.stores.items()
+            for endpoint in snapshots.current.endpoints
+            if endpoint.identity == identity
+        }
+
     def publish(self) -> None:
         self.revision += 1
 
@@ -135,16 +183,20 @@
         fleet.reading_hosts.add(self.host)
         if self.host in fleet.failing_sources:
             raise RecursionError('maximum recursion depth exceeded')
-        if self.host in fleet.rejected_hosts:
+        if self.host in fleet.rejected_hosts | fleet.cut_hosts:
             await asyncio.sleep(fleet.read_seconds)
             return Err(SourceUnavailable('status 503'))
         revision = fleet.revision
         waited_until = fleet.clock.monotonic() + wait_seconds
         await fleet.wait_until(lambda: fleet.revision != revision, waited_until)
         await asyncio.sleep(fleet.read_seconds)
+        addresses = {host: Address(host, 80) for host in fleet.hosts}
         endpoints = tuple(
-            make_endpoint(host, address=Address(host, 80))
-            for host in fleet.hosts
+            make_endpoint(identity, address=address)
+            for identity, address in (
+                *addresses.items(),
+                *fleet.extra_endpoints.items(),
+            )
         )
         return Ok(
             Reading(
--- a/packages/wagtailline-sidecar/tests/test_snapshot.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot.py
@@ -13,10 +13,10 @@
     EarlyEndpoints,
     Reading,
 )
-from wagtailline_sidecar.snapshot import (
+from wagtailline_sidecar.snapshot import SnapshotStore
+from wagtailline_sidecar.source_outages import (
     OUTAGE_THRESHOLD_SECONDS,
     REGISTRATION_GRACE_SECONDS,
-    SnapshotStore,
 )
 from wagtailline_sidecar.supervision import TaskFailed
 
