Adopt no endpoints that a peer alone has reason to retain

Cause: a list of endpoints is taken whole from a peer, and nothing tells which of them its own readings have brought.

After an outage that all daemons see, all of them retain the endpoints as before (test). Not shown with real processes.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_refreshes.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_refreshes.py
@@ -8,7 +8,11 @@
 
 from wagtailline.placement import rank_nodes
 from wagtailline_sidecar.clock import BootClock
-from wagtailline_sidecar.refresh_events import OUTCOME_OK, OUTCOME_TIMEOUT
+from wagtailline_sidecar.refresh_events import (
+    OUTCOME_OK,
+    OUTCOME_OTHER_OUTAGE,
+    OUTCOME_TIMEOUT,
+)
 from wagtailline_sidecar.refresh_periods import RefreshPeriods
 from wagtailline_sidecar.refresh_reports import RefreshReports
 from wagtailline_sidecar.snapshot import SnapshotStore
@@ -149,6 +153,10 @@
         age_seconds = self._clock.boot() - peer_reading.refreshed_at
         if age_seconds > self._periods().max_refresh_age:
             return f'last read {age_seconds:.3f} s ago'
+        if not self._snapshots.accepts(
+            peer_reading.reading, peer_reading.current_at
+        ):
+            return OUTCOME_OTHER_OUTAGE
         self._snapshots.apply(
             peer_reading.reading,
             peer_reading.current_at,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/reading.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/reading.py
@@ -9,7 +9,8 @@
     """Consistent state of the source at one revision.
 
     ``configuration`` is None when the source holds no valid configuration. The
-    endpoints may be those of a later revision, ``endpoints_revision``.
+    endpoints may be those of a later revision, ``endpoints_revision``. A peer's
+    reading with ``is_after_outage`` may list endpoints whose entries expired.
     """
 
     revision: int
@@ -17,6 +18,7 @@
     endpoints: tuple[Endpoint, ...]
     closed_data_centres: frozenset[str]
     endpoints_revision: int = 0
+    is_after_outage: bool = False
 
 
 class EarlyEndpoints(NamedTuple):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_events.py
@@ -6,6 +6,8 @@
 OUTCOME_OK = 'ok'
 # The peer did not reply in time.
 OUTCOME_TIMEOUT = TimeoutError.__name__
+# The peer was out of contact with the source while this daemon was not.
+OUTCOME_OTHER_OUTAGE = 'peer alone saw an outage'
 
 
 class SourceLost(NamedTuple):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -93,6 +93,22 @@
         """
         return self._refreshed_at
 
+    @property
+    def is_after_outage(self) -> bool:
+        """Return whether expired endpoints are retained after an outage."""
+        return self._outages.is_recent
+
+    def accepts(self, reading: Reading, current_at: float) -> bool:
+        """Return whether the endpoints that a peer lists may be used.
+
+        A peer that lost contact with the source, but not the source itself,
+        may retain some that are gone. Its reading was current at a time since
+        boot.
+        """
+        if self._snapshot is None or not reading.is_after_outage:
+            return True
+        return self._outages.has_seen(current_at)
+
     def subscribe(self, listener: Callable[[Snapshot], None]) -> None:
         """Register a listener that is called when the snapshot changes."""
         self._listeners.append(listener)
@@ -123,7 +139,9 @@
             self._outages.record_reading(requested_at)
             refreshed_at = self._clock.boot()
         else:
-            self._outages.record_peer(requested_at)
+            self._outages.record_peer(
+                requested_at, is_after_outage=reading.is_after_outage
+            )
         if previous is not None and is_older:
             reading = reading._replace(
                 revision=previous.revision,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -227,6 +227,7 @@
             tuple(sorted(snapshot.closed_data_centres)),
             self._age_ms(self._snapshots.refreshed_at),
             endpoints_revision=self._snapshots.endpoints_revision,
+            is_after_outage=self._snapshots.is_after_outage,
         )
 
     def _age_ms(self, moment: float) -> int:
@@ -258,6 +259,7 @@
             endpoints,
             frozenset(reply.closed_data_centres),
             reply.endpoints_revision,
+            reply.is_after_outage,
         )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_messages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_messages.py
@@ -29,6 +29,8 @@
     already has them. The configuration is a delta to ``base_version``, or
     whole if that is 0. A negative ``age_ms`` means that there is no snapshot.
     The endpoints may be those of a later revision, ``endpoints_revision``.
+    After an outage of the source (``is_after_outage``) they may include some
+    whose entries have expired.
     """
 
     number: Count
@@ -42,6 +44,7 @@
     refresh_age_ms: Count = 0
     waited_ms: Count = 0
     endpoints_revision: Count = 0
+    is_after_outage: bool = False
 
 
 SNAPSHOT_KINDS: dict[int, type[Message]] = {
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
@@ -7,6 +7,8 @@
 REGISTRATION_GRACE_SECONDS = 2.5
 # A longer interval between readings is treated as an outage of the source.
 OUTAGE_THRESHOLD_SECONDS = 3.0
+# The same if a peer reports an outage, which it may have met a little earlier.
+REPORTED_THRESHOLD_SECONDS = 2.0
 _NEVER = float('-inf')
 
 
@@ -20,6 +22,7 @@
 
     away_seconds: float
     paused_seconds: float
+    is_reported_by_peer: bool
 
 
 class TimeSource(Protocol):
@@ -37,7 +40,9 @@
 class SourceOutages:
     """Record of the contacts with the source, which tells its outages.
 
-    Time in which the daemon itself did not run is no outage.
+    Time in which the daemon itself did not run is no outage, and neither is
+    one that a peer reports while this daemon was in contact. A daemon without
+    any contact yet believes its peers.
     """
 
     def __init__(
@@ -66,25 +71,52 @@
     def record_reading(self, requested_at: float) -> None:
         """Record a reading that was requested at the given time since boot."""
         if self._contacted_at > _NEVER:
-            self._end_outage(requested_at)
+            self._end_outage(
+                requested_at, OUTAGE_THRESHOLD_SECONDS, is_reported=False
+            )
         self._record_contact(requested_at)
 
-    def record_peer(self, current_at: float) -> None:
+    def record_peer(self, current_at: float, *, is_after_outage: bool) -> None:
         """Record a snapshot of a peer that was current at a time since boot.
 
-        It shows that the source was not away.
+        A peer that reports no outage shows that the source was not away.
         """
+        if is_after_outage and not self.is_recent:
+            self._end_outage(
+                current_at, REPORTED_THRESHOLD_SECONDS, is_reported=True
+            )
         self._record_contact(current_at)
 
-    def _end_outage(self, contacted_at: float) -> None:
-        paused_seconds = self._measure_pauses(self._contacted_at)
-        away_seconds = contacted_at - self._contacted_at - paused_seconds
-        if away_seconds <= OUTAGE_THRESHOLD_SECONDS:
+    def has_seen(self, current_at: float) -> bool:
+        """Return whether an outage that a peer reports was seen here too.
+
+        The snapshot of the peer was current at the given time since boot.
+        """
+        away_seconds, _ = self._measure_absence(current_at)
+        return self.is_recent or away_seconds > REPORTED_THRESHOLD_SECONDS
+
+    def _end_outage(
+        self,
+        contacted_at: float,
+        threshold_seconds: float,
+        *,
+        is_reported: bool,
+    ) -> None:
+        away_seconds, paused_seconds = self._measure_absence(contacted_at)
+        if away_seconds <= threshold_seconds:
             return
         self._ended_at = self._clock.boot()
         self._observe(
-            OutageEnded(round(away_seconds, 3), round(paused_seconds, 3))
+            OutageEnded(
+                round(away_seconds, 3), round(paused_seconds, 3), is_reported
+            )
         )
 
+    def _measure_absence(self, contacted_at: float) -> tuple[float, float]:
+        """Return for how long the source was away, and this daemon paused."""
+        paused_seconds = self._measure_pauses(self._contacted_at)
+        away_seconds = contacted_at - self._contacted_at - paused_seconds
+        return away_seconds, paused_seconds
+
     def _record_contact(self, contacted_at: float) -> None:
         self._contacted_at = max(self._contacted_at, contacted_at)
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -104,6 +104,7 @@
             snapshot.endpoints,
             snapshot.closed_data_centres,
             store.endpoints_revision,
+            store.is_after_outage,
         )
         return Ok(PeerReading(reading, store.confirmed_at, store.refreshed_at))
 
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -27,6 +27,10 @@
     digest_endpoints,
 )
 from wagtailline_sidecar.snapshot_messages import SNAPSHOT_KINDS
+from wagtailline_sidecar.source_outages import (
+    OUTAGE_THRESHOLD_SECONDS,
+    REGISTRATION_GRACE_SECONDS,
+)
 
 HELLO = Hello(1, 'vm', 'host', 'oslo-a', 1, PURPOSE_CONTROL)
 
@@ -134,6 +138,26 @@
     assert client.snapshots.refreshed_at == client.clock.now
 
 
+async def test_outage_that_one_daemon_saw_is_passed_on():
+    """Guards against adopting endpoints that one daemon alone retains."""
+    server, client = await make_pair()
+    server.read(5, CONFIGURATION, ENDPOINTS)
+    await client.refresh()
+    server.clock.now += OUTAGE_THRESHOLD_SECONDS + 1
+    client.clock.now += OUTAGE_THRESHOLD_SECONDS
+    client.read(6, CONFIGURATION, ())
+    client.clock.now += 1
+    server.read(6, CONFIGURATION, ())
+    retained = (await client.exchange.fetch('peer')).ok_value
+    assert retained.reading.endpoints == ENDPOINTS
+    assert not client.snapshots.accepts(retained.reading, retained.current_at)
+    server.clock.now += REGISTRATION_GRACE_SECONDS + 1
+    client.clock.now += REGISTRATION_GRACE_SECONDS + 1
+    server.read(6, CONFIGURATION, ())
+    later = (await client.exchange.fetch('peer')).ok_value
+    assert client.snapshots.accepts(later.reading, later.current_at)
+
+
 async def test_age_counts_from_the_request():
     """Guards against a stale reply, if the client was suspended meanwhile."""
     server, client = await make_pair()
--- a/packages/wagtailline-sidecar/tests/test_source_outages.py
+++ b/packages/wagtailline-sidecar/tests/test_source_outages.py
@@ -39,7 +39,9 @@
     clock.now += FREEZE_SECONDS + OUTAGE_THRESHOLD_SECONDS + 1
     outages.record_reading(clock.now)
     assert outages.is_recent
-    assert events == [OutageEnded(OUTAGE_THRESHOLD_SECONDS + 1, FREEZE_SECONDS)]
+    assert events == [
+        OutageEnded(OUTAGE_THRESHOLD_SECONDS + 1, FREEZE_SECONDS, False)
+    ]
 
 
 def test_outage_ends_once_and_is_recent_for_the_grace():
@@ -55,6 +57,30 @@
     assert len(events) == 1
 
 
+@pytest.mark.parametrize('has_contact', [True, False])
+def test_reported_outage_counts_if_it_was_seen(has_contact):
+    """Guards against adopting what one daemon alone retains."""
+    outages, clock, _ = make_outages()
+    clock.now += OUTAGE_THRESHOLD_SECONDS + 1
+    if has_contact:
+        outages.record_peer(clock.now - 1, is_after_outage=False)
+    assert outages.has_seen(clock.now) != has_contact
+    outages.record_peer(clock.now, is_after_outage=True)
+    assert outages.is_recent != has_contact
+    clock.now += 1
+    assert outages.has_seen(clock.now) != has_contact
+
+
+def test_daemon_that_has_just_started_believes_its_peers():
+    """Guards against a daemon that starts after an outage and lacks all."""
+    clock = FakeClock()
+    outages = SourceOutages(clock, lambda event: None)
+    assert outages.has_seen(clock.now)
+    outages.record_peer(clock.now, is_after_outage=True)
+    clock.now += 1
+    assert outages.has_seen(clock.now)
+
+
 async def find_late_hosts(fleet) -> set[str]:
     """Return the daemons that list an endpoint later than they may."""
     late: set[str] = set()
@@ -83,6 +109,26 @@
     assert not await find_late_hosts(fleet)
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize('phase', range(8))
+async def test_reader_that_was_cut_off_passes_nothing_on(phase):
+    """Guards against requests to an endpoint that is gone (DRAIN).
+
+    A daemon that was cut off can't tell that from an outage. It retains what
+    left meanwhile, unless a peer helps it first, but daemons that were in
+    touch don't adopt that.
+    """
+    fleet = await make_settled_fleet()
+    fleet.register('leaving')
+    await asyncio.sleep(MAX_PROPAGATION_SECONDS + phase * 0.1)
+    fleet.cut_hosts = {HOSTS[0]}
+    await asyncio.sleep(FREEZE_SECONDS)
+    fleet.remove('leaving')
+    await asyncio.sleep(MAX_PROPAGATION_SECONDS)
+    fleet.cut_hosts = set()
+    assert await find_late_hosts(fleet) <= {HOSTS[0]}
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize('phase', range(8))
 async def test_all_daemons_retain_endpoints_after_an_outage(phase):
