Retain expired endpoints no longer than bounds are suspended by an outage

Cause: the 2.5 s for which missing endpoints are retained began with the first reading that succeeded, which comes up to 1.2 s after the source is back, and ended with the first reading after that time, up to 0.9 s later.

Retention ends at most 2.8 s after the last reading that failed, when the outage may have ended; the reader reads at that moment, so that its peers have the new list within the rest. So that endpoints that register again still have 2 s, daemons retry a failed reading after 0.4 to 0.8 s in place of 0.6 to 1.2 s.

The fleet of these tests answers a peer that knows less at once now, as daemons do. Readings that fail by timeout (3 s) leave unknown when the outage ended; for them the bound is counted from the end of the reading.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -98,6 +98,15 @@
         """Return whether expired endpoints are retained after an outage."""
         return self._outages.is_recent
 
+    @property
+    def retention_seconds(self) -> float:
+        """Return for how long expired endpoints are retained from now on."""
+        return self._outages.retention_seconds
+
+    def record_failure(self) -> None:
+        """Record that a reading of the source has just failed."""
+        self._outages.record_failure()
+
     def accepts(self, reading: Reading, current_at: float) -> bool:
         """Return whether the endpoints that a peer lists may be used.
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
@@ -5,6 +5,9 @@
 
 # After an outage of the source, endpoints register again within about 2 s.
 REGISTRATION_GRACE_SECONDS = 2.5
+# Expired endpoints are retained no longer than this after the last failed
+# reading. Bounds hold again 3 s after the outage, which may have ended then.
+MAX_RETENTION_SECONDS = 2.8
 # A longer interval between readings is treated as an outage of the source.
 OUTAGE_THRESHOLD_SECONDS = 3.0
 # The same if a peer reports an outage, which it may have met a little earlier.
@@ -15,13 +18,14 @@
 class OutageEnded(NamedTuple):
     """Event: the source answers again, after no contact with it for a while.
 
-    Endpoints whose entries have expired are retained from now on, for
-    ``REGISTRATION_GRACE_SECONDS``. ``paused_seconds`` are those in which this
-    daemon did not run itself; they are not part of ``away_seconds``.
+    Endpoints whose entries have expired are retained for
+    ``retention_seconds``. ``paused_seconds`` are those in which this daemon did
+    not run itself; they are not part of ``away_seconds``.
     """
 
     away_seconds: float
     paused_seconds: float
+    retention_seconds: float
     is_reported_by_peer: bool
 
 
@@ -60,13 +64,22 @@
         self._observe = observe
         self._measure_pauses = measure_pauses
         self._contacted_at = _NEVER
-        self._ended_at = _NEVER
+        self._failed_at = _NEVER
+        self._retains_until = _NEVER
 
     @property
     def is_recent(self) -> bool:
         """Return whether endpoints may still have to register again."""
-        elapsed_seconds = self._clock.boot() - self._ended_at
-        return elapsed_seconds <= REGISTRATION_GRACE_SECONDS
+        return self._clock.boot() <= self._retains_until
+
+    @property
+    def retention_seconds(self) -> float:
+        """Return for how long expired endpoints are retained from now on."""
+        return max(self._retains_until - self._clock.boot(), 0)
+
+    def record_failure(self) -> None:
+        """Record that a reading of the source has just failed."""
+        self._failed_at = self._clock.boot()
 
     def record_reading(self, requested_at: float) -> None:
         """Record a reading that was requested at the given time since boot."""
@@ -105,13 +118,22 @@
         away_seconds, paused_seconds = self._measure_absence(contacted_at)
         if away_seconds <= threshold_seconds:
             return
-        self._ended_at = self._clock.boot()
+        self._retains_until = self._find_retention_end()
         self._observe(
             OutageEnded(
-                round(away_seconds, 3), round(paused_seconds, 3), is_reported
+                round(away_seconds, 3),
+                round(paused_seconds, 3),
+                round(self.retention_seconds, 3),
+                is_reported,
             )
         )
 
+    def _find_retention_end(self) -> float:
+        ends_at = self._clock.boot() + REGISTRATION_GRACE_SECONDS
+        if self._failed_at <= self._contacted_at:
+            return ends_at
+        return min(ends_at, self._failed_at + MAX_RETENTION_SECONDS)
+
     def _measure_absence(self, contacted_at: float) -> tuple[float, float]:
         """Return for how long the source was away, and this daemon paused."""
         paused_seconds = self._measure_pauses(self._contacted_at)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -38,10 +38,15 @@
 HELPED_PERIOD_SECONDS = 0.45
 # Number of other daemons that are asked after a failed reading.
 HELPERS = 2
+# The first reading without the expired endpoints begins this much after their
+# retention has ended.
+_RETENTION_MARGIN_SECONDS = 0.01
 # Exponential backoff with jitter, so that daemons whose readings failed at the
-# same time do not all retry at the same time.
+# same time do not all retry at the same time. After an outage, endpoints are
+# retained from the last failure on: the delay, which jitter up to doubles, has
+# to leave 2 s of MAX_RETENTION_SECONDS for them to register again.
 MIN_RETRY_SECONDS = 0.15
-MAX_RETRY_SECONDS = 0.6
+MAX_RETRY_SECONDS = 0.4
 _MAX_DOUBLINGS = 4
 
 
@@ -133,7 +138,15 @@
         was_reader = self._reports.reader == self._location.host
         can_wait = was_reader and not self._failures
         self._reports.record_reader(self._location.host, reason)
-        return await self._read(READ_WAIT_SECONDS if can_wait else 0)
+        wait_seconds = READ_WAIT_SECONDS if can_wait else 0
+        return await self._read(self._limit_to_retention(wait_seconds))
+
+    def _limit_to_retention(self, seconds: float) -> float:
+        """Return a shorter time if expired endpoints have to go before."""
+        retention_seconds = self._snapshots.retention_seconds
+        if retention_seconds <= 0:
+            return seconds
+        return min(seconds, retention_seconds + _RETENTION_MARGIN_SECONDS)
 
     async def _read(self, wait_seconds: float) -> float:
         requested_at = self._clock.boot()
@@ -148,7 +161,7 @@
                 self._reports.report_refresh(
                     ORIGIN_SOURCE, OUTCOME_OK, requested_at
                 )
-                return self._periods().read
+                return self._limit_to_retention(self._periods().read)
             case Err(failure):
                 self._reports.report_refresh(
                     ORIGIN_SOURCE, failure.reason, requested_at
@@ -174,6 +187,7 @@
             age = round(self._snapshots.age_seconds, 3)
             self._observe(SourceLost(failure.reason, age))
         self._failures += 1
+        self._snapshots.record_failure()
         for host in self._choose_helpers():
             if await self._peers.refresh_from(host):
                 self._reports.record_reader(host, failure.reason)
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -93,7 +93,11 @@
         waited_until = self.clock.monotonic() + max_wait_seconds
         await asyncio.sleep(0.001)
         await self.wait_until(
-            lambda: store.confirmed_at != confirmed_at, waited_until
+            lambda: (
+                store.confirmed_at != confirmed_at
+                or not self.is_known(caller, store)
+            ),
+            waited_until,
         )
         snapshot = store.current
         if snapshot is None:
@@ -108,6 +112,16 @@
         )
         return Ok(PeerReading(reading, store.confirmed_at, store.refreshed_at))
 
+    def is_known(self, caller: str, store: SnapshotStore) -> bool:
+        """Return whether a daemon has the snapshot of another one already."""
+        known, offered = self.stores[caller].current, store.current
+        return (
+            known is not None
+            and offered is not None
+            and known.configuration.version == offered.configuration.version
+            and known.endpoints == offered.endpoints
+        )
+
     async def wait_until(self, is_true, latest: float) -> None:
         while not is_true() and self.clock.monotonic() < latest:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
--- a/packages/wagtailline-sidecar/tests/test_source_outages.py
+++ b/packages/wagtailline-sidecar/tests/test_source_outages.py
@@ -13,6 +13,8 @@
     SourceOutages,
 )
 
+# Bounds hold again this long after the source has returned.
+CONTACT_SECONDS = 3.0
 FREEZE_SECONDS = OUTAGE_THRESHOLD_SECONDS + 0.5
 
 
@@ -40,7 +42,12 @@
     outages.record_reading(clock.now)
     assert outages.is_recent
     assert events == [
-        OutageEnded(OUTAGE_THRESHOLD_SECONDS + 1, FREEZE_SECONDS, False)
+        OutageEnded(
+            OUTAGE_THRESHOLD_SECONDS + 1,
+            FREEZE_SECONDS,
+            REGISTRATION_GRACE_SECONDS,
+            False,
+        )
     ]
 
 
@@ -146,3 +153,22 @@
         assert fleet.find_listing_hosts('lapsed') == set(HOSTS)
     await asyncio.sleep(2 * REGISTRATION_GRACE_SECONDS)
     assert not fleet.find_listing_hosts('lapsed')
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize('phase', range(16))
+async def test_endpoints_are_retained_no_longer_than_daemons_are_excused(phase):
+    """Guards against requests to an endpoint that left before an outage.
+
+    Daemons are in touch again this long after the source is back, but may have
+    read it for the first time a second later.
+    """
+    fleet = await make_settled_fleet()
+    fleet.register('left')
+    await asyncio.sleep(MAX_PROPAGATION_SECONDS)
+    fleet.rejected_hosts = set(HOSTS)
+    fleet.remove('left')
+    await asyncio.sleep(FREEZE_SECONDS + phase * 0.1)
+    fleet.rejected_hosts = set()
+    await asyncio.sleep(CONTACT_SECONDS)
+    assert not fleet.find_listing_hosts('left')
