Ask the keepers of crashes before a retry after "not run" or a failure

Cause, the first of two: the keepers of the request's history were asked only after an attempt of unknown outcome.

They are asked before each retry that the budget grants, after a refusal by an upstream and after a 5xx. So that an overload costs no three datagrams a retry, a keeper that knows of no crash at all says so, and the daemon doesn't ask it again for 1 s. The budget is asked first, so questions are never more than retries; a retry that is withheld then has used its part of the budget.

A new test bounds the datagrams of an overload without crashes by the number of daemons and keepers.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_history.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_history.py
@@ -54,6 +54,11 @@
             return 0
         return crashes.number
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no request has crashed an upstream lately."""
+        return not self._crashes
+
     def forget(self, digest: bytes) -> None:
         """Forget a request that an upstream has answered."""
         self._crashes.pop(digest, None)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_keepers.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_keepers.py
@@ -22,6 +22,9 @@
 KEEPERS = 3
 # A VM with a CPU quota may be throttled for most of 100 ms before it replies.
 REPLY_TIMEOUT_SECONDS = 0.08
+# A keeper that knows of no crash is not asked again for this time. A crash has
+# to be known everywhere within 3 s.
+NO_CRASHES_SECONDS = 1.0
 _MILLISECONDS_PER_SECOND = 1000
 
 
@@ -40,7 +43,9 @@
         self._kept = CrashHistory(clock)
         # What this daemon saw itself, for when no keeper replies.
         self._seen = CrashHistory(clock)
-        self._replies: DatagramReplies[int] = DatagramReplies()
+        self._replies: DatagramReplies[CrashCount] = DatagramReplies()
+        self._no_crashes_until: dict[str, float] = {}
+        self._clock = clock
         datagrams.subscribe(self._receive)
 
     async def report(
@@ -51,12 +56,42 @@
         Without a crash, it only asks. The keepers' highest count is returned,
         or that of this daemon if none replies.
         """
+        report = self._make_report(digest, ran_seconds, is_crash=is_crash)
+        return await self._report_to(self._find_keepers(digest), report)
+
+    async def count(self, digest: bytes) -> int:
+        """Return how often a request crashed, over all daemons.
+
+        Keepers that have just said that they know of no crash are not asked.
+        """
+        now = self._clock.monotonic()
+        hosts = tuple(
+            host
+            for host in self._find_keepers(digest)
+            if self._no_crashes_until.get(host, now) <= now
+        )
+        report = self._make_report(digest, 0, is_crash=False)
+        return await self._report_to(hosts, report)
+
+    def clear(self, digest: bytes) -> None:
+        """Report that an upstream has answered the request."""
+        self._seen.forget(digest)
+        self._kept.forget(digest)
+        self._datagrams.send(CrashCleared(digest), self._find_keepers(digest))
+
+    def _make_report(
+        self, digest: bytes, ran_seconds: float, *, is_crash: bool
+    ) -> CrashReport:
         ran_ms = int(max(ran_seconds, 0) * _MILLISECONDS_PER_SECOND)
-        report = CrashReport(
+        return CrashReport(
             self._datagrams.host, 0, digest, ran_ms, is_crash=is_crash
         )
+
+    async def _report_to(
+        self, hosts: tuple[str, ...], report: CrashReport
+    ) -> int:
+        """Return the highest count of the hosts, or that of this daemon."""
         seen = _apply_report(self._seen, report)
-        hosts = self._find_keepers(digest)
         counts = await self._ask(
             report, [host for host in hosts if host != self._datagrams.host]
         )
@@ -64,18 +99,12 @@
             counts.append(_apply_report(self._kept, report))
         return max(counts, default=seen)
 
-    def clear(self, digest: bytes) -> None:
-        """Report that an upstream has answered the request."""
-        self._seen.forget(digest)
-        self._kept.forget(digest)
-        self._datagrams.send(CrashCleared(digest), self._find_keepers(digest))
-
     def _find_keepers(self, digest: bytes) -> tuple[str, ...]:
         return self._members.find_hosts(digest.hex(), KEEPERS)
 
     async def _ask(self, report: CrashReport, hosts: list[str]) -> list[int]:
         """Return the counts of the hosts that reply in time."""
-        waiting: dict[asyncio.Future[int], tuple[int, str]] = {}
+        waiting: dict[asyncio.Future[CrashCount], tuple[int, str]] = {}
         for host in hosts:
             if not self._replies.is_silent(host):
                 number = self._replies.make_number()
@@ -93,15 +122,26 @@
                 self._replies.give_up(number)
         for missing in late:
             self._replies.note_silence(waiting[missing][1])
-        return [reply.result() for reply in replies]
+        for answered in replies:
+            self._note_reply(waiting[answered][1], answered.result())
+        return [reply.result().crashes for reply in replies]
+
+    def _note_reply(self, host: str, reply: CrashCount) -> None:
+        """Remember for a while that a keeper knows of no crash."""
+        if reply.knows_none:
+            until = self._clock.monotonic() + NO_CRASHES_SECONDS
+            self._no_crashes_until[host] = until
+        else:
+            self._no_crashes_until.pop(host, None)
 
     def _receive(self, message: Message) -> None:
         match message:
             case CrashReport(host, number):
                 count = _apply_report(self._kept, message)
-                self._datagrams.send(CrashCount(number, count), (host,))
-            case CrashCount(number, count):
-                self._replies.settle(number, count)
+                reply = CrashCount(number, count, self._kept.is_empty)
+                self._datagrams.send(reply, (host,))
+            case CrashCount(number):
+                self._replies.settle(number, message)
             case CrashCleared(digest):
                 self._kept.forget(digest)
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/datagrams.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/datagrams.py
@@ -72,10 +72,14 @@
 
 
 class CrashCount(NamedTuple):
-    """Reply to a report with the number of crashes of the request."""
+    """Reply to a report with the number of crashes of the request.
+
+    With ``knows_none``, the keeper knows of no request that crashed.
+    """
 
     sequence_number: Count
     crashes: Count
+    knows_none: bool = False
 
 
 class CrashCleared(NamedTuple):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/forwarder.py
@@ -113,7 +113,7 @@
                 self._policy.record_answer(state, outgoing)
                 return False
             case Ok(_):
-                return self._policy.permits_after_answer(state, outgoing)
+                return await self._policy.permits_after_answer(state, outgoing)
             case Err(refusal):
                 return await self._policy.permits_after_refusal(
                     state, outgoing, refusal
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_guard.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_guard.py
@@ -77,6 +77,20 @@
             self._watch(digest, crashes)
         return self._decide(digest, attempt.request_id, crashes)
 
+    async def permits_again(self, digest: bytes, request_id: str) -> bool:
+        """Return whether a request that crashed nothing now may be retried.
+
+        It may have crashed upstreams before, which the whole system has to
+        know.
+        """
+        crashes = self._find_crashes(digest)
+        if crashes < MAX_CRASHES:
+            counted = await self._keepers.count(digest)
+            if counted > crashes:
+                crashes = counted
+                self._watch(digest, crashes)
+        return self._decide(digest, request_id, crashes)
+
     def permits_known(self, digest: bytes, request_id: str) -> bool:
         """Return whether this daemon knows nothing that forbids a retry."""
         crashes = self._find_crashes(digest)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/retry_policy.py
@@ -79,7 +79,7 @@
             return True
         if state.upstream_attempts >= state.admitted.route.max_attempts:
             return False
-        return self._permits_known(state, outgoing)
+        return await self._permits_known(state, outgoing)
 
     async def _permits_unknown(
         self,
@@ -91,34 +91,38 @@
 
         It may have crashed its upstream, which the whole system has to know.
         """
-        if not self._is_retryable(state, outgoing):
-            return False
         attempt = FailedAttempt(
             state.admitted.request_id,
             state.attempts[-1].took_ms / _MILLISECONDS_PER_SECOND,
             is_crash=refusal.reason in CRASH_REASONS,
         )
+        if not self._is_retryable(state, outgoing):
+            return False
         digest = outgoing.digest(state.service)
         if not await self._guard.permits(digest, attempt):
             return False
         return self._try_acquire(state)
 
-    def permits_after_answer(
+    async def permits_after_answer(
         self, state: ForwardingState, outgoing: OutgoingRequest
     ) -> bool:
         """Return whether a request may be retried after an error response."""
         is_retryable = self._is_retryable(state, outgoing)
-        return is_retryable and self._permits_known(state, outgoing)
+        return is_retryable and await self._permits_known(state, outgoing)
 
-    def _permits_known(
+    async def _permits_known(
         self, state: ForwardingState, outgoing: OutgoingRequest
     ) -> bool:
-        """Return whether neither the guard nor the budget forbids a retry."""
-        if self._guard.is_watching and not self._guard.permits_known(
-            outgoing.digest(state.service), state.admitted.request_id
-        ):
+        """Return whether neither the budget nor the guard forbids a retry.
+
+        The budget comes first, as the guard may ask other daemons: those
+        questions are not more than the retries then, also in an overload.
+        """
+        if not self._try_acquire(state):
             return False
-        return self._try_acquire(state)
+        return await self._guard.permits_again(
+            outgoing.digest(state.service), state.admitted.request_id
+        )
 
     def _is_retryable(
         self, state: ForwardingState, outgoing: OutgoingRequest
--- a/packages/wagtailline-sidecar/tests/test_retry_guard.py
+++ b/packages/wagtailline-sidecar/tests/test_retry_guard.py
@@ -9,7 +9,11 @@
 from _crash_fleet import CRASHING, HOP_SECONDS, CrashFleet
 from result import Ok
 
-from wagtailline_sidecar.retry_guard import RetryWithheld, digest_request
+from wagtailline_sidecar.crash_keepers import NO_CRASHES_SECONDS
+from wagtailline_sidecar.retry_guard import (
+    RetryWithheld,
+    digest_request,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -54,7 +58,7 @@
 async def test_crashing_request_that_was_shed_first_is_retried_no_more():
     """Guards against a retry by a daemon that has not seen the crashes.
 
-    It does not ask the keepers after a response that the request did not run.
+    It did not ask the keepers after a response that the request did not run.
     """
     fleet = CrashFleet(12, UPSTREAMS)
     fleet.is_shedding = True
@@ -64,6 +68,21 @@
     assert sum(at > bound for at in crashes) <= MAX_RETRIES
 
 
+async def test_questions_of_an_overload_are_bounded():
+    """Guards against three datagrams for each of the retries of an overload.
+
+    Keepers that know of no crash are asked once a second by each daemon.
+    """
+    fleet = CrashFleet(12, UPSTREAMS)
+    fleet.is_shedding = True
+    seconds, per_second = 10, 100
+    await send_evenly(fleet, '/desk/shed', per_second, seconds)
+    keepers = min(len(fleet.hosts), 3)
+    questions = len(fleet.hosts) * keepers * (seconds / NO_CRASHES_SECONDS + 1)
+    # Each question has a reply.
+    assert 0 < fleet.datagrams <= 2 * questions
+
+
 async def test_crashing_request_beside_others_is_still_known():
     """Guards against answers to other requests that clear its history."""
     fleet = CrashFleet(12, UPSTREAMS)
