Search a log line for its fields in linear time

wagtailctl trace hung on a log line with a long word in it (32,000 characters: 4.5 s, with the square of the length).

Cause: the pattern of a field could begin at each character of a word, and reads on to its end.

A field begins at the begin of a word.

--- a/packages/wagtailline-ctl/src/wagtailline_ctl/log_search.py
+++ b/packages/wagtailline-ctl/src/wagtailline_ctl/log_search.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-_FIELD = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+_FIELD = re.compile(r'\b(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 # Fields of events that name instances of upstreams. ``attempts`` is a list of
 # items ``INSTANCE:OUTCOME:DURATION``, separated by commas.
 _INSTANCE_FIELDS = ('instance', 'attempts')
--- a/packages/wagtailline-ctl/tests/test_log_commands.py
+++ b/packages/wagtailline-ctl/tests/test_log_commands.py
@@ -1,5 +1,8 @@
 """Tests of the search of collected logs."""
 
+import subprocess
+import sys
+
 import pytest
 from cleo.testers.command_tester import CommandTester
 
@@ -51,3 +54,21 @@
 def test_unknown_request_has_an_exit_status(log):
     """Guards against exit status 0 if the logs do not contain the request."""
     assert run(f'zz {log}').status_code == 1
+
+
+# A search that is finished in milliseconds, on any machine.
+MAX_SECONDS = 30
+SCRIPT = """
+from wagtailline_ctl.log_search import parse_line
+assert parse_line('a' * 400_000) is None
+"""
+
+
+def test_long_word_in_a_log_takes_no_time():
+    """Guards against a trace that hangs on what is no event.
+
+    Each character of a word was tried as the begin of a field.
+    """
+    subprocess.run(
+        [sys.executable, '-c', SCRIPT], timeout=MAX_SECONDS, check=True
+    )
