--- a/packages/wagtailline-sidecar/tests/_crash_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_crash_fleet.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from _fixtures import make_endpoint, make_route, make_shares, make_snapshot
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from wagtailline.calls import Answer, Refusal, WholeBody
 from wagtailline.ports import Address
@@ -62,7 +62,7 @@
         if not self.is_up:
             return Err(Refusal('upstream_unreachable', 'no', 250))
         if self.fleet.is_shedding and self.fleet.shed(request.request_id):
-            return Err(Refusal('upstream_shed', 'no'))
+            return self.fleet.first_outcome
         loop = asyncio.get_running_loop()
         is_crash = request.target == CRASHING
         self.fleet.arrivals.append(
@@ -127,6 +127,7 @@
         self.datagrams = 0
         self.silent_hosts: set[str] = set()
         self.is_shedding = False
+        self.first_outcome: Result = Err(Refusal('upstream_shed', 'no'))
         self.shed_requests: set[str] = set()
         self.hosts = [f'10.0.{n // 250}.{n % 250 + 1}' for n in range(daemons)]
         self.upstreams = {
--- a/packages/wagtailline-sidecar/tests/test_retry_guard.py
+++ b/packages/wagtailline-sidecar/tests/test_retry_guard.py
@@ -9,6 +9,7 @@
 from _crash_fleet import CRASHING, HOP_SECONDS, CrashFleet
 from result import Ok
 
+from wagtailline.calls import Answer, WholeBody
 from wagtailline_sidecar.crash_keepers import NO_CRASHES_SECONDS
 from wagtailline_sidecar.retry_guard import (
     FailedAttempt,
@@ -68,6 +69,17 @@
     assert sum(at > bound for at in crashes) <= MAX_RETRIES
 
 
+async def test_crashing_request_that_failed_first_is_retried_no_more():
+    """Guards against the same behind a response with a failure."""
+    fleet = CrashFleet(12, UPSTREAMS)
+    fleet.is_shedding = True
+    fleet.first_outcome = Ok(Answer(500, (), WholeBody(b'')))
+    await send_in_turn(fleet, 24)
+    crashes = [arrival.at for arrival in fleet.arrivals if arrival.is_crash]
+    bound = crashes[2] + CONTACT_SECONDS
+    assert sum(at > bound for at in crashes) <= MAX_RETRIES
+
+
 async def test_questions_of_an_overload_are_bounded():
     """Guards against three datagrams for each of the retries of an overload.
 
