--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_compose_core.py
@@ -22,6 +22,7 @@
 from wagtailline_sidecar.settings import SidecarSettings
 from wagtailline_sidecar.settings_watch import SettingsWatch
 from wagtailline_sidecar.snapshot import SnapshotStore
+from wagtailline_sidecar.source_outages import SourceOutages
 from wagtailline_sidecar.supervision import describe_failure
 from wagtailline_sidecar.telemetry import Telemetry
 
@@ -90,13 +91,14 @@
     telemetry = Telemetry(events)
     clock = BootClock()
     pauses = PauseMeter(clock, telemetry.observe)
+    outages = SourceOutages(clock, telemetry.observe, pauses.measure_since)
     return CoreServices(
         SettingsWatch(path, settings, telemetry.observe),
         names,
         clock,
         Random(),
         telemetry,
-        SnapshotStore(clock, telemetry.observe, pauses.measure_since),
+        SnapshotStore(clock, telemetry.observe, outages),
         int(time.time() * _MILLISECONDS_PER_SECOND),
         _build_resources(clock, telemetry),
         pauses,
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -3,16 +3,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from wagtailline.ports import Address
-from wagtailline_sidecar.checks import ConfigurationFault, check_configuration
-from wagtailline_sidecar.model import Configuration, Endpoint, Snapshot
+from wagtailline_sidecar._configuration_selector import ConfigurationSelector
+from wagtailline_sidecar._endpoint_lists import add_expired, keep_latest
+from wagtailline_sidecar.model import Endpoint, Snapshot
 from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.routing import RouteTable
-from wagtailline_sidecar.source_outages import (
-    SourceOutages,
-    TimeSource,
-    measure_no_pause,
-)
+from wagtailline_sidecar.source_outages import SourceOutages, TimeSource
 from wagtailline_sidecar.supervision import describe_failure
 
 
@@ -25,14 +21,6 @@
     closed: str
 
 
-class ConfigurationRefused(NamedTuple):
-    """Event: a published configuration was rejected and not applied."""
-
-    version: int
-    in_force: int
-    problem: str
-
-
 class SnapshotStore:
     """Store of the snapshot in force; versions and revisions never decrease."""
 
@@ -40,16 +28,15 @@
         self,
         clock: TimeSource,
         observe: Callable[[NamedTuple], None],
-        measure_pauses: Callable[[float], float] = measure_no_pause,
+        outages: SourceOutages,
     ) -> None:
         """Start without a snapshot; the first reading installs one.
 
-        ``measure_pauses`` returns for how many seconds the process did not run
-        since a time since boot.
+        ``outages`` tell when endpoints whose entries expired are retained.
         """
         self._clock = clock
         self._observe = observe
-        self._outages = SourceOutages(clock, observe, measure_pauses)
+        self._outages = outages
         self._snapshot: Snapshot | None = None
         self._route_table: RouteTable | None = None
         self._confirmed_at = float('-inf')
@@ -57,7 +44,7 @@
         self._endpoints_revision = 0
         self._listeners: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[], None]] = []
-        self._refused_version = 0
+        self._selector = ConfigurationSelector(observe)
 
     @property
     def current(self) -> Snapshot | None:
@@ -157,7 +144,8 @@
                 configuration=previous.configuration,
                 closed_data_centres=previous.closed_data_centres,
             )
-        configuration = self._select_configuration(reading.configuration)
+        in_force = None if previous is None else previous.configuration
+        configuration = self._selector.select(in_force, reading.configuration)
         if configuration is None:
             return
         if not is_older:
@@ -203,8 +191,9 @@
         self._endpoints_revision = revision
         if self._snapshot is not None and offered is self._snapshot.endpoints:
             return offered
-        listed = self._add_expired(offered) if may_add else offered
-        return _keep_latest(listed)
+        if may_add and self._snapshot is not None and self._outages.is_recent:
+            offered = add_expired(offered, self._snapshot.endpoints)
+        return keep_latest(offered)
 
     def _install(self, snapshot: Snapshot, refreshed_at: float) -> None:
         self._refreshed_at = max(self._refreshed_at, refreshed_at)
@@ -243,72 +232,6 @@
         except Exception as error:
             self._observe(describe_failure(listener.__qualname__, error))
 
-    def _select_configuration(
-        self, offered: Configuration | None
-    ) -> Configuration | None:
-        previous = self._snapshot.configuration if self._snapshot else None
-        if offered is None or offered is previous:
-            return previous
-        faults = check_configuration(offered)
-        is_older = previous is not None and offered.version <= previous.version
-        if not faults and not is_older:
-            return offered
-        if is_older and previous is not None:
-            if offered.version == previous.version:
-                return previous
-            faults = (ConfigurationFault('version', 'older than in force'),)
-        self._report_refusal(offered, previous, faults)
-        return previous
-
-    def _report_refusal(
-        self,
-        offered: Configuration,
-        previous: Configuration | None,
-        faults: tuple[ConfigurationFault, ...],
-    ) -> None:
-        if offered.version == self._refused_version:
-            return
-        self._refused_version = offered.version
-        in_force = previous.version if previous else 0
-        problem = '; '.join(
-            f'{fault.subject}: {fault.problem}' for fault in faults
-        )
-        self._observe(ConfigurationRefused(offered.version, in_force, problem))
-
-    def _add_expired(
-        self, listed: tuple[Endpoint, ...]
-    ) -> tuple[Endpoint, ...]:
-        """Add endpoints whose entries expired during an outage of the source.
-
-        They are retained until they have had time to register again.
-        """
-        previous = self._snapshot.endpoints if self._snapshot else ()
-        if not self._outages.is_recent:
-            return listed
-        listed_identities = {endpoint.identity for endpoint in listed}
-        listed_addresses = {endpoint.address for endpoint in listed}
-        expired = [
-            endpoint
-            for endpoint in previous
-            if endpoint.identity not in listed_identities
-            and endpoint.address not in listed_addresses
-        ]
-        return (*listed, *expired)
-
-
-def _keep_latest(endpoints: tuple[Endpoint, ...]) -> tuple[Endpoint, ...]:
-    """Return only the latest incarnation at each address.
-
-    The entry of a crashed endpoint remains until it expires, even if a new
-    incarnation is already registered at its address.
-    """
-    latest: dict[Address, Endpoint] = {}
-    for endpoint in endpoints:
-        previous = latest.get(endpoint.address)
-        if previous is None or previous.started_ms <= endpoint.started_ms:
-            latest[endpoint.address] = endpoint
-    return tuple(latest.values())
-
 
 def _is_unchanged(previous: Snapshot, snapshot: Snapshot) -> bool:
     """Return whether the snapshots differ in nothing but the revision."""
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_outages.py
@@ -36,11 +36,6 @@
         """Return the time since boot, including suspended time."""
 
 
-def measure_no_pause(moment: float) -> float:
-    """Return the pauses since a time of a process that always runs."""
-    return 0
-
-
 class SourceOutages:
     """Record of the contacts with the source, which tells its outages.
 
@@ -53,7 +48,7 @@
         self,
         clock: TimeSource,
         observe: Callable[[NamedTuple], None],
-        measure_pauses: Callable[[float], float] = measure_no_pause,
+        measure_pauses: Callable[[float], float],
     ) -> None:
         """Start without a contact; the first one ends no outage.
 
--- a/packages/wagtailline-sidecar/tests/_fixtures.py
+++ b/packages/wagtailline-sidecar/tests/_fixtures.py
@@ -19,6 +19,8 @@
 from wagtailline_sidecar.retry_guard import RetryGuard
 from wagtailline_sidecar.retry_policy import RetryPolicy
 from wagtailline_sidecar.retry_shares import RetryLimits, RetryShares
+from wagtailline_sidecar.snapshot import SnapshotStore
+from wagtailline_sidecar.source_outages import SourceOutages
 
 HOST = 'desk.example'
 
@@ -36,6 +38,18 @@
         return self.now
 
 
+def measure_no_pause(moment: float) -> float:
+    """Return the pauses of a process that always runs."""
+    return 0
+
+
+def make_snapshot_store(
+    clock, observe=lambda event: None, measure_pauses=measure_no_pause
+) -> SnapshotStore:
+    outages = SourceOutages(clock, observe, measure_pauses)
+    return SnapshotStore(clock, observe, outages)
+
+
 def make_route(name: str = 'status', **changes: object) -> Route:
     route = Route(
         name=name,
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -4,7 +4,11 @@
 from functools import partial
 from random import Random
 
-from _fixtures import make_configuration, make_endpoint
+from _fixtures import (
+    make_configuration,
+    make_endpoint,
+    make_snapshot_store,
+)
 from result import Err, Ok, Result
 
 from wagtailline.placement import rank_nodes
@@ -64,7 +68,7 @@
 
     def add(self, host: str) -> None:
         self.pauses[host] = []
-        snapshots = SnapshotStore(
+        snapshots = make_snapshot_store(
             self.clock,
             self.events.append,
             lambda moment: self.measure_pauses(host, moment),
--- a/packages/wagtailline-sidecar/tests/test_admission.py
+++ b/packages/wagtailline-sidecar/tests/test_admission.py
@@ -9,6 +9,7 @@
     make_account,
     make_configuration,
     make_route,
+    make_snapshot_store,
 )
 
 from wagtailline.calls import Refusal
@@ -19,9 +20,6 @@
     Reading,
 )
 from wagtailline_sidecar.server_connection import IncomingRequest
-from wagtailline_sidecar.snapshot import (
-    SnapshotStore,
-)
 
 MAX_KEY_SNAPSHOT_AGE_SECONDS = 4.5
 MAX_DENIAL_AGE_SECONDS = 2.0
@@ -46,7 +44,7 @@
     stops_at=math.inf,
 ):
     clock = FakeClock()
-    snapshots = SnapshotStore(clock, lambda event: None)
+    snapshots = make_snapshot_store(clock)
     if has_snapshot:
         configuration = make_configuration(*routes, accounts=accounts)
         reading = Reading(1, configuration, (), frozenset())
--- a/packages/wagtailline-sidecar/tests/test_snapshot.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot.py
@@ -5,6 +5,7 @@
     make_configuration,
     make_endpoint,
     make_route,
+    make_snapshot_store,
 )
 
 from wagtailline.ports import Address
@@ -24,7 +25,7 @@
 def make_store() -> tuple[SnapshotStore, FakeClock, list]:
     clock = FakeClock()
     events: list = []
-    return SnapshotStore(clock, events.append), clock, events
+    return make_snapshot_store(clock, events.append), clock, events
 
 
 def apply_reading(
@@ -173,7 +174,7 @@
     apply_reading(reader, clock, 1, endpoint)
     clock.now += OUTAGE_THRESHOLD_SECONDS + 1
     apply_reading(reader, clock, 2)
-    follower = SnapshotStore(clock, lambda event: None)
+    follower = make_snapshot_store(clock)
     passed_on = Reading(
         reader.current.revision,
         reader.current.configuration,
--- a/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/tests/test_snapshot_exchange.py
@@ -6,6 +6,7 @@
     make_configuration,
     make_endpoint,
     make_route,
+    make_snapshot_store,
 )
 from result import Ok
 
@@ -19,9 +20,6 @@
     EarlyEndpoints,
     Reading,
 )
-from wagtailline_sidecar.snapshot import (
-    SnapshotStore,
-)
 from wagtailline_sidecar.snapshot_exchange import (
     SnapshotExchange,
     digest_endpoints,
@@ -38,7 +36,7 @@
 class LoopbackDaemon:
     def __init__(self) -> None:
         self.clock = FakeClock()
-        self.snapshots = SnapshotStore(self.clock, lambda event: None)
+        self.snapshots = make_snapshot_store(self.clock)
         self.transport = StreamTransport(
             Codec({**CONNECTION_KINDS, **SNAPSHOT_KINDS})
         )
--- a/packages/wagtailline-sidecar/tests/test_source_outages.py
+++ b/packages/wagtailline-sidecar/tests/test_source_outages.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from _fixtures import FakeClock
+from _fixtures import FakeClock, measure_no_pause
 from _refresh_fleet import HOSTS, MAX_PROPAGATION_SECONDS, make_settled_fleet
 
 from wagtailline_sidecar.source_outages import (
@@ -81,7 +81,7 @@
 def test_daemon_that_has_just_started_believes_its_peers():
     """Guards against a daemon that starts after an outage and lacks all."""
     clock = FakeClock()
-    outages = SourceOutages(clock, lambda event: None)
+    outages = SourceOutages(clock, lambda event: None, measure_no_pause)
     assert outages.has_seen(clock.now)
     outages.record_peer(clock.now, is_after_outage=True)
     clock.now += 1
