Let a keeper of crashes say again that it knows of none

A keeper forgets a crash after 900 s, but dropped it only when it was asked for that request. After its first crash whose request never came again it never said that it knows of no crash, and the questions of an overload were not bounded any more. Found by reading the change; the test of the history fails without it.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_history.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/crash_history.py
@@ -57,8 +57,15 @@
     @property
     def is_empty(self) -> bool:
         """Return whether no request has crashed an upstream lately."""
+        self._drop_oldest()
         return not self._crashes
 
     def forget(self, digest: bytes) -> None:
         """Forget a request that an upstream has answered."""
         self._crashes.pop(digest, None)
+
+    def _drop_oldest(self) -> None:
+        """Drop requests whose time is over, in the order of their crashes."""
+        oldest = next(iter(self._crashes), None)
+        while oldest is not None and not self.count(oldest):
+            oldest = next(iter(self._crashes), None)
--- a/packages/wagtailline-sidecar/tests/test_crash_history.py
+++ b/packages/wagtailline-sidecar/tests/test_crash_history.py
@@ -45,6 +45,20 @@
     assert history.record(DIGEST, 0) == 1
 
 
+def test_history_is_empty_again_after_a_time():
+    """Guards against keepers that are asked long after the last crash."""
+    clock = FakeClock()
+    history = CrashHistory(clock)
+    assert history.is_empty
+    history.record(DIGEST, 0)
+    clock.now += CRASH_MEMORY_SECONDS
+    history.record(b'later', 0)
+    clock.now += 1
+    assert not history.is_empty
+    clock.now += CRASH_MEMORY_SECONDS
+    assert history.is_empty
+
+
 def test_history_is_bounded_and_keeps_the_latest():
     """Guards against memory that grows with the requests that fail."""
     clock = FakeClock()
