--- a/tests/wagtailline_platform/test_crowd.py
+++ b/tests/wagtailline_platform/test_crowd.py
@@ -21,6 +21,10 @@
 )
 from _daemons import Fleet
 
+from wagtailline.codec import Codec
+from wagtailline.messages import CONNECTION_KINDS, PURPOSE_CONTROL, Hello
+from wagtailline.streams import LENGTH_PREFIX_BYTES
+
 pytestmark = pytest.mark.alone
 
 DAEMONS = 3
@@ -64,6 +68,19 @@
     await check(fleet, Crowd(700, FIRST_BYTES[kind]))
 
 
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt: connections by a Hello')
+async def test_daemon_bears_strangers_that_say_hello(fleet):
+    """Guards against strangers that take all descriptors of a daemon.
+
+    Whoever sends a valid Hello counts as another daemon.
+    """
+    hello = Hello(1, 'vm-0', '127.0.0.1', 'oslo-a', 1, PURPOSE_CONTROL)
+    frame = Codec(CONNECTION_KINDS).encode(hello)
+    first = len(frame).to_bytes(LENGTH_PREFIX_BYTES, 'big') + frame
+    await fleet.start(DAEMONS)
+    await check(fleet, Crowd(700, first, path='peers'))
+
+
 async def test_head_of_the_largest_legal_size_is_served_in_calm(fleet):
     """Guards against limits that refuse a request inside the users' limits."""
     await fleet.start(DAEMONS)
