Take no requests after the last drain of a stop

At the end of a planned stop a daemon read requests and ended without an answer to them; clients don't send those again that it may have read.

Cause: connections were accepted until the services stopped, after the last look at what is in progress.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/daemon.py
@@ -71,9 +71,7 @@
         """Stop gracefully: close the gate, then drain what is in progress."""
         settings = self.settings.current
         self.telemetry.observe(DaemonStopping(settings.vm, reason))
-        self.readiness.is_stopping = True
-        self.gate.close(GATE_STOPPING)
-        self.ingress.disable_keep_alive()
+        self._refuse_new_work()
         stops_at = asyncio.get_running_loop().time() + find_stop_seconds(
             settings
         )
@@ -83,7 +81,8 @@
                 self.readiness.stops_at = stops_at
                 await self._drain()
         except TimeoutError:
-            await self._answer_rest()
+            self.end_requests()
+        await self._answer_last_requests()
         self.telemetry.observe(
             DaemonStopped(
                 settings.vm, self.ingress.in_progress, self.calls.in_progress
@@ -91,9 +90,17 @@
         )
         await self.registry.stop()
 
-    async def _answer_rest(self) -> None:
-        """Answer the requests that have not ended in time."""
-        self.end_requests()
+    def _refuse_new_work(self) -> None:
+        self.readiness.is_stopping = True
+        self.gate.close(GATE_STOPPING)
+        self.ingress.disable_keep_alive()
+
+    async def _answer_last_requests(self) -> None:
+        """Take no more requests, and answer those that came until now.
+
+        A connection is accepted until then, whatever has drained before.
+        """
+        await self.ingress.stop()
         with suppress(TimeoutError):
             async with asyncio.timeout(_LAST_ANSWERS_SECONDS):
                 await self._drain()
--- a/tests/wagtailline_platform/test_end_of_stop.py
+++ b/tests/wagtailline_platform/test_end_of_stop.py
@@ -1,6 +1,7 @@
 """End-to-end tests of requests that outlast a planned stop."""
 
 import asyncio
+import contextlib
 import signal
 
 import pytest
@@ -8,6 +9,7 @@
 
 GRACE_SECONDS = 1
 WORK_SECONDS = 30
+CLIENTS = 60
 
 
 @pytest.fixture
@@ -41,3 +43,33 @@
     status, _, body = await request
     assert (status, b'"unknown"' in body) == (502, True)
     assert await vm.process.wait() == 0
+
+
+async def send_until_refused(vm) -> None:
+    """Send one request after the other, each on a new connection."""
+    while True:
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            await send_request(vm, '/status/1')
+        if vm.process.returncode is not None:
+            return
+        await asyncio.sleep(0.001)
+
+
+async def test_requests_until_the_end_are_not_dropped(fleet):
+    """Guards against requests that are read and end with the process (LOST).
+
+    Connections were accepted until the process ended.
+    """
+    await fleet.start(1)
+    vm = fleet.vms[0]
+    clients = [
+        asyncio.ensure_future(send_until_refused(vm)) for _ in range(CLIENTS)
+    ]
+    await asyncio.sleep(1)
+    vm.terminate()
+    assert await vm.process.wait() == 0
+    await asyncio.gather(*clients)
+    log = vm.log.read_text()
+    assert 'requests_cut=0' in log
+    assert 'handler_failed' not in log
+    assert 'never awaited' not in log
