--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,6 +7,6 @@
 import ast
 from pathlib import Path
 
-for path in sorted(Path('standins_3').glob('*.py')):
+for path in sorted(Path('standins-3').glob('*.py')):
     ast.parse(path.read_text())
 PY
--- a/review/standins_3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -328,11 +328,11 @@
 
 
 def _find_ports(count: int) -> list[int]:
-    """Ports that are free now, the same for all addresses."""
+    """Ports that are free now; no other program uses these addresses."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for free in sockets:
-            free.bind(('0.0.0.0', 0))
+            free.bind(('127.0.1.1', 0))
         return [free.getsockname()[1] for free in sockets]
     finally:
         for free in sockets:
