Tell refreshes and readings apart that looked alike

No line named the readings that replace all items, which a new era, a lost history and a first reading need. Nothing showed at a glance that daemons hold different versions.

Now the outcome names the reason (`another peer replied first`, `daemon stopped`), `source_read_ended` is logged for each whole reading with its reason, revision and version, and two gauges show the version in force and the one refused last. No decision changes.

Tests: a late parent beside a faster ancestor and a stopping daemon (virtual time), reasons of whole readings, gauges.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_refreshes.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/peer_refreshes.py
@@ -12,6 +12,8 @@
     OUTCOME_EARLIER_ERA,
     OUTCOME_OK,
     OUTCOME_OTHER_OUTAGE,
+    OUTCOME_OVERTAKEN,
+    OUTCOME_STOPPED,
     OUTCOME_TIMEOUT,
 )
 from wagtailline_sidecar.refresh_periods import RefreshPeriods
@@ -81,29 +83,28 @@
         while.
         """
         pending: dict[asyncio.Task[bool], str] = {}
+        outcome = OUTCOME_STOPPED
         try:
-            for host in hosts:
-                wait_seconds = self._max_fetch_wait(host)
-                task = asyncio.ensure_future(self.refresh_from(host))
-                pending[task] = host
-                late_seconds = wait_seconds + self._periods().late_reply
-                reader = await self._wait_for_first(pending, late_seconds)
-                if reader is not None:
-                    return reader
+            reader = await self._ask_in_turn(hosts, pending)
+            outcome = OUTCOME_OVERTAKEN if reader else OUTCOME_TIMEOUT
         finally:
             for task, host in pending.items():
-                task.cancel()
+                task.cancel(outcome)
                 self._skip(host)
-        return None
+        return reader
 
     async def refresh_from(self, host: str) -> bool:
-        """Return whether a host supplies a snapshot that is recent enough."""
+        """Return whether a host supplies a snapshot that is recent enough.
+
+        The message of a cancellation is the outcome that is reported.
+        """
         requested_at = self._clock.boot()
         reply = NO_REPLY
         try:
             fetched = await self._fetch(host, self._max_fetch_wait(host))
-        except asyncio.CancelledError:
-            self._reports.report_refresh(host, OUTCOME_TIMEOUT, requested_at)
+        except asyncio.CancelledError as cancellation:
+            outcome = next(iter(cancellation.args), OUTCOME_STOPPED)
+            self._reports.report_refresh(host, outcome, requested_at)
             raise
         except Exception as error:
             # Whatever is wrong with this peer, the next one may do.
@@ -118,6 +119,23 @@
         self._reports.report_refresh(host, outcome, requested_at, reply)
         return outcome == OUTCOME_OK
 
+    async def _ask_in_turn(
+        self, hosts: list[str], pending: dict[asyncio.Task[bool], str]
+    ) -> str | None:
+        """Return the first host that supplies a snapshot, or None.
+
+        Fetches that go on are left in ``pending``.
+        """
+        for host in hosts:
+            wait_seconds = self._max_fetch_wait(host)
+            task = asyncio.ensure_future(self.refresh_from(host))
+            pending[task] = host
+            late_seconds = wait_seconds + self._periods().late_reply
+            reader = await self._wait_for_first(pending, late_seconds)
+            if reader is not None:
+                return reader
+        return None
+
     async def _wait_for_first(
         self, pending: dict[asyncio.Task[bool], str], seconds: float
     ) -> str | None:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_events.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/refresh_events.py
@@ -8,6 +8,10 @@
 OUTCOME_OK = 'ok'
 # The peer did not reply in time.
 OUTCOME_TIMEOUT = TimeoutError.__name__
+# The peer was late, and another one replied first.
+OUTCOME_OVERTAKEN = 'another peer replied first'
+# This daemon stopped before the peer had replied.
+OUTCOME_STOPPED = 'daemon stopped'
 # The peer was out of contact with the source while this daemon was not.
 OUTCOME_OTHER_OUTAGE = 'peer alone saw an outage'
 # The peer has not heard of the restore of the source that this daemon knows.
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/replicated_source.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/replicated_source.py
@@ -162,6 +162,11 @@
                 self._client.received_bytes,
                 int(transfer_seconds * _MILLISECONDS_PER_SECOND),
                 int(self._decode_seconds * _MILLISECONDS_PER_SECOND),
+                self._replica.load_reason,
+                self._replica.revision,
+                0
+                if self._configuration is None
+                else self._configuration.version,
             )
         )
         if failure:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
@@ -1,5 +1,6 @@
 """Copy of the items of the source, which watches keep current."""
 
+import enum
 import zlib
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -12,6 +13,17 @@
 MAX_HISTORY_SECONDS = 2.0
 
 
+class LoadReason(enum.StrEnum):
+    """Reason for which all items were read instead of the latest changes."""
+
+    NONE = ''
+    FIRST = 'first reading'
+    IDLE = 'long without a reading'
+    HISTORY_GONE = 'history gone'
+    HISTORY_INCOMPLETE = 'history incomplete'
+    NEW_ERA = 'new era'
+
+
 class SourceItem(NamedTuple):
     """Item at the revision of its last change.
 
@@ -45,13 +57,18 @@
     """Event: a reading of the source has ended.
 
     ``transfer_ms`` is the time from the first to the last byte of its answers,
-    ``decode_ms`` that in which their items were decoded.
+    ``decode_ms`` that in which their items were decoded. ``load_reason`` tells
+    why all items were read, and is empty if only changes were. ``version`` is
+    that of the configuration that the source holds, or 0.
     """
 
     outcome: str
     received_bytes: int
     transfer_ms: int
     decode_ms: int
+    load_reason: LoadReason = LoadReason.NONE
+    revision: SourceRevision = NO_REVISION
+    version: int = 0
 
 
 class HistoryGone(Exception):
@@ -129,7 +146,9 @@
         self._checksums: dict[str, int] = {}
         self._removed_revisions: dict[str, SourceRevision] = {}
         self._is_loaded = False
-        self._must_load = False
+        # Kept until all items have been read.
+        self._pending_load = LoadReason.NONE
+        self.load_reason = LoadReason.NONE
         self.avoids_history = False
         self.revision = NO_REVISION
         self.prompt_revision = NO_REVISION
@@ -140,25 +159,28 @@
         Without a change, waits up to ``wait_seconds`` for one. What was
         received before an exception of the client is kept. While
         ``avoids_history`` is set, only the latest state of large items is
-        transferred, not each one since the last refresh.
+        transferred, not each one since the last refresh. ``load_reason`` tells
+        afterwards why all items were read, if they were.
         """
         is_first = not self._is_loaded
+        self.load_reason = LoadReason.NONE
         if is_first:
             await self._load(may_be_stale=True)
             self._is_loaded = True
             wait_seconds = 0
         elif self._clock.monotonic() - self._refreshed_at > MAX_HISTORY_SECONDS:
-            self._must_load = True
-        follow = (
-            self._follow_small_items if self.avoids_history else self._follow
-        )
-        if self._must_load or not await follow(wait_seconds):
-            self._must_load = True
+            self._pending_load = LoadReason.IDLE
+        if not self._pending_load:
+            self._pending_load = await self._catch_up(wait_seconds)
+        self.load_reason = self._pending_load
+        if self._pending_load:
             if is_first:
                 # What is stale may be of an era before that of its answer.
                 self._revisions = dict.fromkeys(self._revisions, NO_REVISION)
             await self._load(may_be_stale=False)
-            self._must_load = False
+            self._pending_load = LoadReason.NONE
+        if is_first:
+            self.load_reason = LoadReason.FIRST
         self._refreshed_at = self._clock.monotonic()
         self.prompt_revision = max(self.prompt_revision, self.revision)
         self._removed_revisions = {
@@ -182,36 +204,40 @@
             self._apply_newer(change)
             self.prompt_revision = max(self.prompt_revision, change.revision)
 
-    async def _follow(self, wait_seconds: float) -> bool:
-        """Apply the changes since the last refresh if there are all of them."""
+    async def _catch_up(self, wait_seconds: float) -> LoadReason:
+        """Apply the changes since the last refresh.
+
+        Return why all items have to be read if these are not all changes.
+        """
+        prefix = self._prompt_prefix if self.avoids_history else ''
         try:
             changes = await self._client.watch(
-                '', self.revision.number, wait_seconds
+                prefix, self.revision.number, wait_seconds
             )
         except HistoryGone:
-            return False
+            return LoadReason.HISTORY_GONE
         if self._begins_era(changes.revision):
-            return False
+            return LoadReason.NEW_ERA
+        if self.avoids_history:
+            is_complete = self._follow_small_items(changes)
+        else:
+            is_complete = self._follow(changes)
+        return LoadReason.NONE if is_complete else LoadReason.HISTORY_INCOMPLETE
+
+    def _follow(self, changes: SourceChanges) -> bool:
+        """Apply changes; return whether they are all since the last refresh."""
         latest = {change.key: change for change in changes.items}
         for change in latest.values():
             self._apply_newer(change)
             self.revision = max(self.revision, change.revision)
         return self.revision >= changes.revision
 
-    async def _follow_small_items(self, wait_seconds: float) -> bool:
+    def _follow_small_items(self, changes: SourceChanges) -> bool:
         """Apply changes of small items; return whether there were no others.
 
         There were none if each revision since the last refresh is that of a
         small item.
         """
-        try:
-            changes = await self._client.watch(
-                self._prompt_prefix, self.revision.number, wait_seconds
-            )
-        except HistoryGone:
-            return False
-        if self._begins_era(changes.revision):
-            return False
         numbers = {self.revision.number}
         for change in changes.items:
             self._apply_newer(change)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/telemetry.py
@@ -13,6 +13,7 @@
 
 from wagtailline.client_limits import ClientLimit
 from wagtailline_daemon.events import EventLog, event_name
+from wagtailline_sidecar._configuration_selector import ConfigurationRefused
 from wagtailline_sidecar.answer_events import AnswerRejected
 from wagtailline_sidecar.gate_service import GateCallEnded
 from wagtailline_sidecar.ingress import RequestEnded
@@ -24,7 +25,7 @@
 )
 from wagtailline_sidecar.retry_budgets import RetryDecided
 from wagtailline_sidecar.snapshot import PictureInstalled
-from wagtailline_sidecar.source_replica import SourceReadEnded
+from wagtailline_sidecar.source_replica import LoadReason, SourceReadEnded
 
 _LATENCY_BUCKETS_SECONDS = (
     0.005,
@@ -152,8 +153,11 @@
         match event:
             case EraChanged(era):
                 self._source_era.set(era)
-            case PictureInstalled(_, revision):
+            case PictureInstalled(version, revision):
                 self._source_era.set(revision.era)
+                self._configuration_version.set(version)
+            case ConfigurationRefused(version):
+                self._refused_version.set(version)
 
     def _observe_request(self, event: RequestEnded) -> None:
         self._requests.labels(event.status, event.reason).inc()
@@ -211,6 +215,16 @@
             'Era of the source that the snapshot in force is from',
             registry=self._registry,
         )
+        self._configuration_version = Gauge(
+            'wagtailline_configuration_version',
+            'Version of the configuration in force',
+            registry=self._registry,
+        )
+        self._refused_version = Gauge(
+            'wagtailline_refused_configuration_version',
+            'Version of the configuration that was refused last',
+            registry=self._registry,
+        )
         self._source_bytes = Histogram(
             'wagtailline_source_bytes',
             'Bytes that a reading of the source received',
@@ -260,5 +274,6 @@
             return is_slow or event.outcome != OUTCOME_OK
         case SourceReadEnded():
             busy_ms = event.transfer_ms + event.decode_ms
-            return busy_ms >= _SLOW_TRANSFER_MS
+            is_whole = event.load_reason is not LoadReason.NONE
+            return is_whole or busy_ms >= _SLOW_TRANSFER_MS
     return True
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -16,6 +16,7 @@
 from wagtailline.ports import Address, SourceUnavailable
 from wagtailline_sidecar.location import Location
 from wagtailline_sidecar.reading import Reading
+from wagtailline_sidecar.refresh_events import RefreshEnded
 from wagtailline_sidecar.refresh_periods import plan_refreshes
 from wagtailline_sidecar.snapshot import SnapshotStore
 from wagtailline_sidecar.snapshot_messages import PeerReading, PeerUnavailable
@@ -138,6 +139,14 @@
         for reader in self.readers.values():
             await reader.start()
 
+    def list_outcomes(self, origin: str) -> list[str]:
+        """Return how the refreshes from a peer or the source have ended."""
+        return [
+            event.outcome
+            for event in self.events
+            if isinstance(event, RefreshEnded) and event.origin == origin
+        ]
+
     async def kill(self, host: str) -> None:
         self.killed_hosts.add(host)
         await self.readers[host].stop()
--- a/packages/wagtailline-sidecar/tests/test_source_reader.py
+++ b/packages/wagtailline-sidecar/tests/test_source_reader.py
@@ -17,6 +17,8 @@
 from wagtailline_sidecar.refresh_events import (
     ORIGIN_SOURCE,
     OUTCOME_OK,
+    OUTCOME_OVERTAKEN,
+    OUTCOME_STOPPED,
     RefreshEnded,
 )
 from wagtailline_sidecar.refresh_tree import (
@@ -160,6 +162,31 @@
     assert (ORIGIN_SOURCE, 'status 503') in failed
 
 
+@pytest.mark.looptime
+async def test_late_parent_is_told_from_one_that_was_overtaken():
+    """Guards against a silent parent that can't be told from a lost source.
+
+    A fetch that was given up, since another host had replied or the daemon
+    stopped, was reported like one without a reply.
+    """
+    hosts = tuple(
+        rank_nodes('oslo-a', [f'10.0.1.{number}' for number in range(9)])
+    )
+    fleet = Fleet(hosts)
+    await fleet.start()
+    await asyncio.sleep(3)
+    parent, *_ = find_ancestors(list(hosts), hosts[-1])
+    await fleet.kill(parent)
+    await asyncio.sleep(3)
+    assert OUTCOME_OVERTAKEN in fleet.list_outcomes(parent)
+    before = fleet.list_outcomes(hosts[0]).count(OUTCOME_STOPPED)
+    for host in hosts[2:]:
+        await fleet.kill(host)
+    await asyncio.sleep(0.1)
+    after = fleet.list_outcomes(hosts[0]).count(OUTCOME_STOPPED)
+    assert after > before
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize('seed', range(10))
 async def test_dark_daemons_do_not_hold_up_a_change(seed):
--- a/packages/wagtailline-sidecar/tests/test_source_replica.py
+++ b/packages/wagtailline-sidecar/tests/test_source_replica.py
@@ -6,6 +6,7 @@
 from wagtailline_sidecar.source_replica import (
     MAX_HISTORY_SECONDS,
     HistoryGone,
+    LoadReason,
     SourceChanges,
     SourceFailed,
     SourceItem,
@@ -14,6 +15,11 @@
 )
 from wagtailline_sidecar.source_revision import SourceRevision
 
+LOAD_REASONS = {
+    'deaf': LoadReason.HISTORY_INCOMPLETE,
+    'gone': LoadReason.HISTORY_GONE,
+}
+
 
 class FakeClient:
     """Source in memory that records how it is read."""
@@ -124,7 +130,7 @@
     assert await harness.refresh() == ['watch']
 
 
-@pytest.mark.parametrize('fault', ['deaf', 'gone'])
+@pytest.mark.parametrize('fault', LOAD_REASONS)
 async def test_incomplete_watch_leads_to_a_whole_reading(fault):
     """Guards against a change that a watch did not hear."""
     harness = await make_settled_harness()
@@ -136,6 +142,9 @@
         harness.client.oldest_revision = len(harness.client.history)
     assert await harness.refresh() == ['watch', 'fresh']
     assert harness.contents == {'op/config': b'2'}
+    assert harness.replica.load_reason == LOAD_REASONS[fault]
+    await harness.refresh()
+    assert harness.replica.load_reason is LoadReason.NONE
 
 
 @pytest.mark.parametrize('is_changed', [False, True])
--- a/packages/wagtailline-sidecar/tests/test_telemetry.py
+++ b/packages/wagtailline-sidecar/tests/test_telemetry.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from wagtailline_sidecar._configuration_selector import ConfigurationRefused
 from wagtailline_sidecar.answer_events import AnswerRejected, RejectionReason
 from wagtailline_sidecar.body_memory import BodyCut
 from wagtailline_sidecar.refresh_events import (
@@ -10,7 +11,9 @@
     RefreshEnded,
 )
 from wagtailline_sidecar.retry_budgets import DENIED, GRANTED, RetryDecided
-from wagtailline_sidecar.source_replica import SourceReadEnded
+from wagtailline_sidecar.snapshot import PictureInstalled
+from wagtailline_sidecar.source_replica import LoadReason, SourceReadEnded
+from wagtailline_sidecar.source_revision import SourceRevision
 from wagtailline_sidecar.telemetry import Telemetry
 
 
@@ -31,6 +34,7 @@
         (SourceReadEnded(OUTCOME_OK, 2000, 4, 1), False),
         (SourceReadEnded(OUTCOME_OK, 900_000, 800, 1), True),
         (SourceReadEnded(OUTCOME_OK, 900_000, 4, 300), True),
+        (SourceReadEnded(OUTCOME_OK, 20, 4, 1, LoadReason.NEW_ERA), True),
     ],
 )
 def test_slow_and_failed_refreshes_are_logged(event, is_logged):
@@ -52,6 +56,16 @@
     assert 'wagtailline_snapshot_age_seconds_count 2.0' in page
 
 
+def test_versions_in_force_and_refused_are_shown():
+    """Guards against daemons whose versions differ without a trace."""
+    telemetry = Telemetry(RecordingLog())
+    telemetry.observe(PictureInstalled(7, SourceRevision(1, 40), 3, ''))
+    telemetry.observe(ConfigurationRefused(9, 1, 7, 'version: too large'))
+    page = telemetry.render().decode()
+    assert 'wagtailline_configuration_version 7.0' in page
+    assert 'wagtailline_refused_configuration_version 9.0' in page
+
+
 def test_retries_are_counted_by_cause():
     """Guards against metrics that do not tell why retries were spent."""
     telemetry = Telemetry(RecordingLog())
