Show a first reading that mixes the items of two eras

A daemon that starts some time after a restore of the store may lack routes, keep lost ones and use endpoints that have left.

Cause: the first page may be stale, that is of before the restore, while its answer names the new era. Once the store has given out the revision of that page again, the watch from it succeeds, and what was written before that revision in the new era is never heard of.

Evidence: the new unit test of the replica fails (one run): it keeps servers/gone and has no servers/new. Marked as a known fault.

VMs of the end-to-end tests can now be of several data centres.

--- a/packages/wagtailline-sidecar/tests/test_source_replica.py
+++ b/packages/wagtailline-sidecar/tests/test_source_replica.py
@@ -288,6 +288,44 @@
     assert harness.contents == {'op/config': b'1'}
 
 
+@pytest.mark.xfail(strict=True, reason='KNOWN-RED.txt: stale first reading')
+async def test_stale_copy_is_not_kept_where_its_revision_was_given_again():
+    """Guards against a start with a mixture of lost and present items.
+
+    The watch goes on from the revision of the stale copy, which the source
+    has given out again, so nothing says that the copy is of before a restore.
+    """
+    harness = Harness()
+    client = harness.client
+    client.put('op/config', b'1')
+    client.put('servers/gone')
+    client.put('op/config', b'lost')
+    lost = {item.key: item for item in client.history}.values()
+    start_era(client, 1)
+    client.put('op/config', b'2')
+    client.put('servers/new')
+    client.put('servers/next')
+    read_page = client.read_page
+
+    async def read_stale(after_key, *, may_be_stale):
+        if not may_be_stale:
+            return await read_page(after_key, may_be_stale=False)
+        items = (
+            item._replace(revision=SourceRevision(2, item.revision.number))
+            for item in lost
+        )
+        return SourcePage(tuple(items), SourceRevision(2, 3), has_more=False)
+
+    client.read_page = read_stale
+    await harness.refresh()
+    assert harness.contents.keys() == {
+        'op/config',
+        'servers/new',
+        'servers/next',
+    }
+    assert harness.contents['op/config'] == b'2'
+
+
 async def test_early_changes_of_another_era_are_left_to_the_reading():
     """Guards against endpoints of one era beside routes of another."""
     harness = await make_settled_harness()
--- a/tests/wagtailline_platform/_daemons.py
+++ b/tests/wagtailline_platform/_daemons.py
@@ -87,9 +87,11 @@
         store: Address,
         directory: Path,
         service: str = 'desk',
+        data_centre: str = 'oslo-a',
     ):
         self.name = f'vm-{number}'
         self.service = service
+        self.data_centre = data_centre
         self.host = f'127.0.{WORKER}.{number + 1}'
         self.ports = dict(zip((*_LISTENERS, 'metrics'), ports, strict=True))
         self.log = directory / f'{self.name}.log'
@@ -102,7 +104,7 @@
         }
         self._fields = {
             'vm': self.name,
-            'data_centre': 'oslo-a',
+            'data_centre': data_centre,
             'service': service,
             'source': f'{store.host}:{store.port}',
             'metrics_port': self.ports['metrics'],
@@ -146,7 +148,7 @@
         return {
             'service': self.service,
             'address': f'{self.host}:{self.ports["upstream"]}',
-            'zone': 'oslo-a',
+            'zone': self.data_centre,
             'version': 'v1',
             'maxConcurrency': 4,
             'state': state,
@@ -157,7 +159,7 @@
 
 
 class Fleet:
-    """VMs of one data centre and the simulated platform that they read."""
+    """VMs, of one data centre or more, and the platform that they read."""
 
     def __init__(self, directory: Path) -> None:
         self.directory = directory
@@ -165,14 +167,20 @@
         self.vms: list[Vm] = []
         self.max_descriptors: int | None = None
 
-    async def start(self, size: int, services=('desk',)) -> None:
-        """Start VMs, whose services take turns, and wait until ready."""
+    async def start(
+        self, size: int, services=('desk',), data_centres=('oslo-a',)
+    ) -> None:
+        """Start VMs, whose services take turns, and wait until ready.
+
+        Their data centres take turns too.
+        """
         store = await self.platform.start()
         ports = find_free_ports(len(_LISTENERS) + 1)
         self.platform.put('op/config', make_configuration())
         for number in range(1, size + 1):
             service = services[number % len(services)]
-            vm = Vm(number, ports, store, self.directory, service)
+            data_centre = data_centres[number % len(data_centres)]
+            vm = Vm(number, ports, store, self.directory, service, data_centre)
             vm.max_descriptors = self.max_descriptors
             self.vms.append(vm)
             self.register(vm)
