End the reading of connections that open after the others

Callers: a request on a connection that a daemon accepts in its last moment is read and started while the process ends; its client gets no answer and can't tell whether it ran. The daemon logs handler_failed or "never awaited". Cause: a connection takes over the state of its listener when it is created, and is in the table of open connections an iteration of the event loop later. What the listener ends in between (reading, keep-alive) misses it. Such a connection is read until the loop ends. Tasks of requests that come after Runner has listed the tasks to cancel are destroyed with the loop. Change: a connection takes over the state when it opens, in the same step in which the table gets it.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/http_listener.py
@@ -1,6 +1,7 @@
 """HTTP listener on one address."""
 
 from collections.abc import Callable
+from functools import partial
 
 from wagtailline.connection_table import ConnectionTable
 from wagtailline.ports import Address
@@ -45,13 +46,16 @@
         )
         self._services = ConnectionServices(
             handler,
+            self._prepare,
             limits,
             self._table,
             on_error,
             turns or Turns(),
             shared,
         )
-        self._acceptor = Acceptor(address, self._make_connection)
+        self._acceptor = Acceptor(
+            address, partial(ServerConnection, self._services)
+        )
         self._is_draining = False
         self._has_ended_reading = False
 
@@ -115,9 +119,11 @@
         self._acceptor.stop()
         self.close_idle()
 
-    def _make_connection(self) -> ServerConnection:
-        connection = ServerConnection(self._services)
+    def _prepare(self, connection: ServerConnection) -> None:
+        """Apply the state of the listener to a connection that has opened.
+
+        The table has it only since then, not since it was accepted.
+        """
         connection.is_closing = self._is_draining
         if self._has_ended_reading:
             connection.end_reading()
-        return connection
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -63,11 +63,13 @@
 class ConnectionServices(NamedTuple):
     """What the connections of one listener share.
 
-    ``on_error`` is called with exceptions that the handler raises. The handlers
-    of all connections take ``turns``.
+    ``on_open`` is called with each connection when it opens, and ``on_error``
+    with exceptions that the handler raises. The handlers of all connections
+    take ``turns``.
     """
 
     handler: Handler
+    on_open: 'Callable[[ServerConnection], None]'
     limits: Callable[[], IngressLimits]
     connections: 'ConnectionTable[ServerConnection]'
     on_error: Callable[[Exception], None]
@@ -126,6 +128,7 @@
             return
         self._writer.open(cast(asyncio.Transport, transport))
         self._start_timer(self._limits().idle_timeout_seconds)
+        self._services.on_open(self)
 
     def eof_received(self) -> None:
         """Cancel every request, as the client has left; close."""
--- a/tests/wagtailline_platform/test_end_of_stop.py
+++ b/tests/wagtailline_platform/test_end_of_stop.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+from random import Random
 
 import pytest
 from _crowd import CROWDS, Client
@@ -13,6 +14,8 @@
 CLIENTS = 60
 # Clients that send probe after probe.
 PROBERS = 20
+PROBE = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
+MAX_WAIT_SECONDS = 0.02
 
 
 @pytest.fixture
@@ -100,3 +103,37 @@
     log = vm.log.read_text()
     assert 'handler_failed' not in log
     assert 'never awaited' not in log
+
+
+async def open_connections(vm, random: Random) -> None:
+    """Send a probe on one new connection after the other, after a moment."""
+    address = vm.host, vm.ports['readiness']
+    while vm.process.returncode is None:
+        with contextlib.suppress(OSError):
+            _, writer = await asyncio.open_connection(*address)
+            await asyncio.sleep(random.uniform(0, MAX_WAIT_SECONDS))
+            writer.write(PROBE)
+            await asyncio.sleep(random.uniform(0, MAX_WAIT_SECONDS))
+            writer.transport.abort()
+        await asyncio.sleep(0.001)
+
+
+async def test_probes_on_new_connections_leave_no_errors(fleet):
+    """Guards against connections that are read while the process ends.
+
+    One that was accepted, and not open yet, went on when all others had ended
+    their reading.
+    """
+    await fleet.start(1)
+    vm = fleet.vms[0]
+    clients = [
+        asyncio.ensure_future(open_connections(vm, Random(seed)))
+        for seed in range(2 * CLIENTS)
+    ]
+    await asyncio.sleep(0.5)
+    vm.terminate()
+    assert await vm.process.wait() == 0
+    await asyncio.gather(*clients)
+    log = vm.log.read_text()
+    assert 'handler_failed' not in log
+    assert 'never awaited' not in log
