Start no refusal after the end of reading

Callers: none saw it; a refusal that starts as the event loop ends is destroyed, and the daemon logs a task that was pending. Cause: the timeout of an incomplete head, and a lack of memory for heads, start a task that answers 408 or 503, also after the end of reading. Evidence: found by reading every place that starts a task of an exchange. test_head_that_times_out_after_the_end_of_reading failed before in 3 of 3 runs. Change: nothing is refused after the end of reading; the connection is reset with the process, and the client knows that its head was not complete. Result: the test passes in 3 of 3 runs.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -221,8 +221,11 @@
         return body
 
     def refuse(self, status: int) -> None:
-        """Send an error response to invalid input, then close."""
-        if self._parser.is_stopped:
+        """Send an error response to invalid input, then close.
+
+        Nothing is sent after the end of reading, when the process ends.
+        """
+        if self._parser.is_stopped or self._has_ended_reading:
             return
         limit = _LIMITS_BY_STATUS.get(status, ClientLimit.MALFORMED)
         if self._parser.body is not None:
