--- a/packages/wagtailline-sidecar/tests/test_http_listener.py
+++ b/packages/wagtailline-sidecar/tests/test_http_listener.py
@@ -1,6 +1,8 @@
-"""Tests of connections that open while a listener ends its reading."""
+"""Tests of the end of a listener, while connections open and requests come."""
 
 import asyncio
+import contextlib
+import gc
 import socket
 
 import pytest
@@ -66,3 +68,55 @@
     client.close()
     assert await client.read_rest() == b''
     await listener.stop()
+
+
+def send_after(iterations: int, client: socket.socket) -> None:
+    """Send a request after so many iterations of the event loop."""
+    if iterations:
+        loop = asyncio.get_running_loop()
+        loop.call_soon(send_after, iterations - 1, client)
+        return
+    # A connection that was never accepted is reset.
+    with contextlib.suppress(OSError):
+        client.sendall(get('/late'))
+
+
+async def end_service(
+    client: socket.socket, iterations: int, problems: list[str]
+) -> None:
+    """Serve as a daemon does, and end so many iterations after a client came.
+
+    What the event loop reports, also later, is appended to ``problems``.
+    """
+
+    def report(loop, context) -> None:
+        problems.append(context['message'])
+
+    asyncio.get_running_loop().set_exception_handler(report)
+    listener, port = await listen(echo)
+    client.connect(('127.0.0.1', port))
+    for _ in range(iterations):
+        await asyncio.sleep(0)
+    listener.end_reading()
+    await listener.stop()
+
+
+@pytest.mark.parametrize('iterations', range(6))
+@pytest.mark.parametrize('later_iterations', range(10))
+def test_no_request_is_pending_when_the_loop_ends(iterations, later_iterations):
+    """Guards against tasks that the end of the event loop destroys.
+
+    The daemon logged ``handler_failed`` after it had stopped. A request that
+    came when the tasks to cancel had been listed was started all the same.
+    """
+    problems = []
+
+    async def run(client) -> None:
+        await end_service(client, iterations, problems)
+        send_after(later_iterations, client)
+
+    with socket.socket() as client:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(client))
+        gc.collect()
+    assert problems == []
