--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/server_connection.py
@@ -63,11 +63,13 @@
 class ConnectionServices(NamedTuple):
     """What the connections of one listener share.
 
-    ``on_error`` is called with exceptions that the handler raises. The handlers
-    of all connections take ``turns``.
+    ``on_open`` is called with each connection when it opens, and ``on_error``
+    with exceptions that the handler raises. The handlers of all connections
+    take ``turns``.
     """
 
     handler: Handler
+    on_open: 'Callable[[ServerConnection], None]'
     limits: Callable[[], IngressLimits]
     connections: 'ConnectionTable[ServerConnection]'
     on_error: Callable[[Exception], None]
@@ -126,6 +128,7 @@
             return
         self._writer.open(cast(asyncio.Transport, transport))
         self._start_timer(self._limits().idle_timeout_seconds)
+        self._services.on_open(self)
 
     def eof_received(self) -> None:
         """Cancel every request, as the client has left; close."""
@@ -218,8 +221,11 @@
         return body
 
     def refuse(self, status: int) -> None:
-        """Send an error response to invalid input, then close."""
-        if self._parser.is_stopped:
+        """Send an error response to invalid input, then close.
+
+        Nothing is sent after the end of reading, when the process ends.
+        """
+        if self._parser.is_stopped or self._has_ended_reading:
             return
         limit = _LIMITS_BY_STATUS.get(status, ClientLimit.MALFORMED)
         if self._parser.body is not None:
