Read all items when their history is too large for an answer

Callers: after several large versions in quick succession, a new route got 404 for up to 2 s and more after its acknowledgement, at all daemons.

Cause: the answer to a watch holds each version since the last reading. Above MAX_ANSWER_BYTES the reading failed with AnswerTooLarge, and was repeated from the same revision; all items were read only after 2 s without a reading.

Evidence: test_versions_too_large_for_one_answer_are_read failed with AnswerTooLarge 4259783.

Change: a watch whose answer is too large means that its history can't be had, so all items are read at once, on a new connection.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_connection.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_connection.py
@@ -13,6 +13,7 @@
     ConnectionFailed,
     open_connection,
 )
+from wagtailline_sidecar.source_replica import SourceFailed
 
 # An answer that stops flowing for this time is given up.
 SILENCE_SECONDS = 0.7
@@ -20,9 +21,13 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 
 
-class AnswerTooLarge(Exception):
+class AnswerTooLarge(SourceFailed):
     """The source sent more than a page can hold."""
 
+    def __init__(self, size_bytes: int) -> None:
+        """Take the size of what arrived before the answer was given up."""
+        super().__init__(f'AnswerTooLarge {size_bytes}')
+
 
 class SourceAnswer(NamedTuple):
     """Status, headers and whole body of an answer; how long it arrived."""
@@ -34,7 +39,6 @@
 
 
 CONNECTION_ERRORS = (
-    AnswerTooLarge,
     BodyTruncated,
     ConnectionFailed,
     AnswerMissing,
@@ -54,7 +58,7 @@
         """Return the answer to a GET request, which may take as it flows.
 
         Raises TimeoutError when nothing arrives for ``wait_seconds`` plus
-        ``SILENCE_SECONDS``, or one of ``CONNECTION_ERRORS``.
+        ``SILENCE_SECONDS``, AnswerTooLarge, or one of ``CONNECTION_ERRORS``.
         """
         connection = self._connection
         if connection is None or not connection.is_reusable:
@@ -66,7 +70,11 @@
             WholeBody(),
             wait_seconds + SILENCE_SECONDS,
         )
-        content = await _read_whole(answer.body)
+        try:
+            content = await _read_whole(answer.body)
+        except AnswerTooLarge:
+            self.close()
+            raise
         now = asyncio.get_running_loop().time()
         began_at = connection.first_byte_at or now
         return SourceAnswer(
