Start a split again when its weights change

Callers: after a version that set a service's weight to 0, daemons still sent a request or more of the route to that service; where the new weights were smaller by far, the shares were off for many requests.

Cause: the splitter kept its credits as long as a route's services stayed the same. Credits are in the unit of the weights that earned them: those of 90 and 10 are many cycles of 0.9 and 0.1.

Change: the credits are kept with the weights that earned them, and the route starts again at a random position under others.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/routing.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/routing.py
@@ -2,8 +2,14 @@
 
 import itertools
 from random import Random
+from typing import NamedTuple
 
-from wagtailline_sidecar.model import ClientAccount, Configuration, Route
+from wagtailline_sidecar.model import (
+    ClientAccount,
+    Configuration,
+    Route,
+    ServiceWeight,
+)
 
 
 class RouteTable:
@@ -57,18 +63,26 @@
         return self._accounts_by_key.get(key)
 
 
+class _Split(NamedTuple):
+    """Credits of a route's services, earned under these weights."""
+
+    service_weights: tuple[ServiceWeight, ...]
+    credits: dict[str, float]
+
+
 class Splitter:
     """Distributor of a route's requests over its services by weight.
 
     Smooth weighted round robin keeps each service within one request of its
     share. Random starting positions prevent daemons from choosing the same
-    service at the same time.
+    service at the same time. Changed weights start a route again, because
+    credits that were earned under others could exceed a whole cycle.
     """
 
     def __init__(self, random: Random) -> None:
         """Set up a splitter that starts each route at a random position."""
         self._random = random
-        self._credits: dict[str, dict[str, float]] = {}
+        self._splits: dict[str, _Split] = {}
 
     def choose(self, route: Route) -> str:
         """Return the service of the next request."""
@@ -77,18 +91,17 @@
         total_weight = sum(
             service_weight.weight for service_weight in route.service_weights
         )
-        credits = self._credits.get(route.name)
-        if credits is None or credits.keys() != _service_names(route):
-            credits = self._start_route(route, total_weight)
+        split = self._splits.get(route.name)
+        if split is None or split.service_weights != route.service_weights:
+            split = self._start_route(route, total_weight)
+        credits = split.credits
         for service_weight in route.service_weights:
             credits[service_weight.service] += service_weight.weight
         chosen = max(credits, key=credits.__getitem__)
         credits[chosen] -= total_weight
         return chosen
 
-    def _start_route(
-        self, route: Route, total_weight: float
-    ) -> dict[str, float]:
+    def _start_route(self, route: Route, total_weight: float) -> _Split:
         position = self._random.random() * total_weight
         segment_ends = itertools.accumulate(
             service_weight.weight for service_weight in route.service_weights
@@ -104,9 +117,6 @@
                 # The service at the start position is half a cycle ahead.
                 credits[service_weight.service] += total_weight / 2
                 break
-        self._credits[route.name] = credits
-        return credits
-
-
-def _service_names(route: Route) -> set[str]:
-    return {service_weight.service for service_weight in route.service_weights}
+        split = _Split(route.service_weights, credits)
+        self._splits[route.name] = split
+        return split
--- a/packages/wagtailline-sidecar/tests/test_routing.py
+++ b/packages/wagtailline-sidecar/tests/test_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wagtailline_sidecar.model import ServiceWeight
+from wagtailline_sidecar.model import Route, ServiceWeight
 from wagtailline_sidecar.routing import RouteTable, Splitter
 
 
@@ -52,6 +52,17 @@
         )
 
 
+def make_split(weights: tuple[int, int]) -> Route:
+    """Return a route that is split over two services."""
+    names = ('desk', 'vault')
+    return make_route(
+        service_weights=tuple(
+            ServiceWeight(name, weight)
+            for name, weight in zip(names, weights, strict=True)
+        )
+    )
+
+
 def test_changed_services_reset_the_split():
     """Guards against requests to a service removed by a new version."""
     splitter = Splitter(Random(1))
@@ -66,3 +77,28 @@
         'desk',
         'other',
     }
+
+
+@given(
+    seed=st.integers(0, 1000),
+    old_weights=st.tuples(st.integers(1, 1000), st.integers(1, 1000)),
+    requests=st.integers(0, 50),
+    weights=st.tuples(st.integers(0, 10), st.integers(1, 10)),
+)
+def test_changed_weights_hold_from_the_next_request_on(
+    seed, old_weights, requests, weights
+):
+    """Guards against requests to a service whose weight has become 0.
+
+    What the shares were in arrears by was kept when the weights changed, by
+    far more than a request where the new ones were small.
+    """
+    splitter = Splitter(Random(seed))
+    before, after = make_split(old_weights), make_split(weights)
+    for _ in range(requests):
+        splitter.choose(before)
+    services = [splitter.choose(after) for _ in range(100)]
+    for name, weight in after.service_weights:
+        expected = 100 * weight / sum(weights)
+        assert abs(services.count(name) - expected) <= 1
+        assert weight or name not in services
