Find the routes of a host that names its port

Callers: a route whose host is published with a port, or is an IPv6 address, was never found: 404 at every daemon, for good.

Cause: what follows the first colon of the Host header was cut off, but not that of a published host.

Evidence: test_published_configuration_is_in_force_at_each_daemon, with the hosts 10.0.0.1:8080 and [::1], failed: None in place of the route.

Change: the routes of the host as it was sent are looked up first, and then those of the host without its port.

Result: the test passes, with the others of test_routing.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/routing.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/routing.py
@@ -42,13 +42,20 @@
         return bool(self.configuration.accounts)
 
     def find_route(self, host: str, target: str) -> Route | None:
-        """Return the route with the longest matching prefix, or None."""
-        routes_by_prefix = self._routes_by_host.get(
-            host.lower().partition(':')[0]
-        )
+        """Return the route with the longest matching prefix, or None.
+
+        A route whose host names a port goes before those of all ports.
+        """
+        host, path = host.lower(), target.partition('?')[0]
+        route = self._find_route_of(host, path)
+        if route is not None:
+            return route
+        return self._find_route_of(host.rsplit(':', 1)[0], path)
+
+    def _find_route_of(self, host: str, path: str) -> Route | None:
+        routes_by_prefix = self._routes_by_host.get(host)
         if routes_by_prefix is None:
             return None
-        path = target.partition('?')[0]
         end = len(path)
         while end > 0:
             end = path.rfind('/', 0, end) + 1
--- a/tests/wagtailline_platform/test_published_configurations.py
+++ b/tests/wagtailline_platform/test_published_configurations.py
@@ -22,7 +22,9 @@
 ERA = 3
 SERVICES = ('desk', 'vault', 'ledger')
 NAMES = st.text('abcz-09', min_size=1, max_size=4)
-HOSTS = st.sampled_from(['desk.example', 'Vault.Example', '10.0.0.1'])
+HOSTS = st.sampled_from(
+    ['desk.example', 'Vault.Example', '10.0.0.1:8080', '[::1]']
+)
 SEGMENTS = st.sampled_from(['a', 'b', 'ab', '%2f', 'é', '.', ''])
 PREFIXES = st.lists(SEGMENTS, max_size=4).map(
     lambda segments: ''.join(f'{segment}/' for segment in ['', *segments])
@@ -156,9 +158,10 @@
 ) -> None:
     """Compare the routes that are found with those that are due."""
     table = RouteTable(configuration)
-    for host in {route['host'] for route in published['routes'].values()}:
-        for path in paths:
-            found = table.find_route(host, path)
+    hosts = {route['host'] for route in published['routes'].values()}
+    for host, path in itertools.product(hosts, paths):
+        for requested in (host, host.upper(), f'{host}:80'):
+            found = table.find_route(requested, path)
             name = None if found is None else found.name
             assert name == find_expected(published, host, path)
 
