--- a/tests/wagtailline_platform/_confirmed_changes.py
+++ b/tests/wagtailline_platform/_confirmed_changes.py
@@ -215,6 +215,14 @@
         self.operator.write_again()
         self.oracle.watch()
 
+    def go_on(self, *, is_lower: bool) -> None:
+        """Write again, or go back to the copy's version and its numbers."""
+        if is_lower:
+            self.operator.go_back_with_copy()
+        else:
+            self.write_again()
+        self.register_lost()
+
     def register_all(self) -> None:
         for vm in self.fleet.vms:
             self.fleet.register(vm)
@@ -249,20 +257,16 @@
 
     def find_reader(self, data_centre: str) -> Vm:
         """Return the VM whose daemon reads for its data centre."""
+        return self.rank_vms(data_centre)[0]
+
+    def rank_vms(self, data_centre: str) -> list[Vm]:
+        """Return the VMs of a data centre, the one that reads for it first."""
         vms = {
             vm.host: vm
             for vm in self.fleet.vms
             if vm.data_centre == data_centre
         }
-        return vms[rank_nodes(data_centre, set(vms))[0]]
-
-    def find_child(self, reader: Vm) -> Vm:
-        """Return another VM of a reader's data centre."""
-        return next(
-            vm
-            for vm in self.fleet.vms
-            if vm.data_centre == reader.data_centre and vm is not reader
-        )
+        return [vms[host] for host in rank_nodes(data_centre, set(vms))]
 
 
 def describe(trial: Trial) -> str:
--- a/tests/wagtailline_platform/test_confirmed_changes.py
+++ b/tests/wagtailline_platform/test_confirmed_changes.py
@@ -38,6 +38,10 @@
     reason='set CONFIRMED_CHANGES=all to play all scenarios',
 )
 
+for_both_numberings = pytest.mark.parametrize(
+    'is_lower', [False, pytest.param(True, marks=LOWER_VERSIONS)]
+)
+
 
 @pytest.fixture
 async def trial(tmp_path):
@@ -82,6 +86,23 @@
     await check(trial)
 
 
+@by_hand
+@LOWER_VERSIONS
+@pytest.mark.parametrize('pause_seconds', [1.5, 0])
+async def test_routes_of_a_single_lower_version_are_served(
+    trial, pause_seconds
+):
+    """Guards against a lower version that waits for the next one."""
+    await trial.publish_for(BEFORE_SECONDS)
+    await trial.return_store(COPY_AGE_SECONDS)
+    trial.operator.go_back_with_copy()
+    await asyncio.sleep(pause_seconds)
+    trial.operator.add_route()
+    trial.oracle.watch()
+    await asyncio.sleep(AFTER_SECONDS)
+    await check(trial)
+
+
 @by_hand
 async def test_routes_that_are_written_again_late_are_served(trial):
     """Guards against versions that come later than the grace period.
@@ -129,9 +150,7 @@
 
 
 @by_hand
-@pytest.mark.parametrize(
-    'is_lower', [False, pytest.param(True, marks=LOWER_VERSIONS)]
-)
+@for_both_numberings
 async def test_daemons_that_start_after_a_return_serve_routes(trial, is_lower):
     """Guards against a daemon that keeps the copy as the present state."""
     await trial.publish_for(BEFORE_SECONDS)
@@ -141,16 +160,24 @@
     for vm in {vm.name: vm for vm in (reader, *trial.fleet.vms[:4])}.values():
         await trial.restart(vm)
     await asyncio.sleep(4)
-    if is_lower:
-        trial.operator.go_back_with_copy()
-    else:
-        trial.write_again()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(AFTER_SECONDS)
     await check(trial)
 
 
-@STALE_READING
-async def test_daemon_that_starts_from_a_stale_page_serves_routes(trial):
+@pytest.mark.parametrize(
+    'starting',
+    [
+        pytest.param(slice(1), id='reader', marks=STALE_READING),
+        pytest.param(slice(1, 2), id='child', marks=by_hand),
+        pytest.param(
+            slice(None), id='data centre', marks=(by_hand, STALE_READING)
+        ),
+    ],
+)
+async def test_daemons_that_start_from_a_stale_page_serve_routes(
+    trial, starting
+):
     """Guards against a first reading of before a return, in its new era.
 
     The store has given out the revision of that page again, so the watch from
@@ -164,7 +191,8 @@
     trial.oracle.watch()
     while trial.platform.revision <= stale_revision:
         trial.register_all()
-    await trial.restart(trial.find_reader(DATA_CENTRES[0]))
+    for vm in trial.rank_vms(DATA_CENTRES[0])[starting]:
+        await trial.restart(vm)
     await asyncio.sleep(AFTER_SECONDS)
     await check(trial)
 
@@ -180,8 +208,7 @@
     data centre, so the others there take what it holds.
     """
     await trial.publish_for(BEFORE_SECONDS)
-    reader = trial.find_reader(DATA_CENTRES[0])
-    gone = trial.find_child(reader)
+    reader, gone, *_ = trial.rank_vms(DATA_CENTRES[0])
     trial.platform.remove(f'servers/{gone.upstream.instance}')
     await asyncio.sleep(COPY_AGE_SECONDS)
     trial.fleet.register(gone)
@@ -220,14 +247,14 @@
 
 
 @by_hand
-async def test_routes_are_served_where_the_reader_was_frozen(trial):
+@for_both_numberings
+async def test_routes_are_served_where_the_reader_was_frozen(trial, is_lower):
     """Guards against a daemon of an earlier era than those behind it."""
     reader = trial.find_reader(DATA_CENTRES[0])
     await trial.publish_for(BEFORE_SECONDS)
     trial.freeze(reader)
     await trial.return_store(COPY_AGE_SECONDS)
-    trial.write_again()
-    trial.register_lost()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(3)
     trial.thaw(reader)
     await trial.publish_for(AFTER_SECONDS)
@@ -235,15 +262,15 @@
 
 
 @by_hand
-async def test_routes_are_served_where_the_reader_was_cut_off(trial):
+@for_both_numberings
+async def test_routes_are_served_where_the_reader_was_cut_off(trial, is_lower):
     """Guards against a daemon that gets a newer era from those behind it."""
     reader = trial.find_reader(DATA_CENTRES[0])
     await give_own_way(trial.fleet, reader)
     await trial.publish_for(BEFORE_SECONDS)
     trial.cut_off(reader)
     await trial.return_store(COPY_AGE_SECONDS)
-    trial.write_again()
-    trial.register_lost()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(3)
     trial.connect(reader)
     await trial.publish_for(AFTER_SECONDS)
