--- a/tests/wagtailline_platform/test_confirmed_changes.py
+++ b/tests/wagtailline_platform/test_confirmed_changes.py
@@ -9,17 +9,22 @@
 
 import pytest
 from _confirmed_changes import (
+    CONTACT_SECONDS,
     DATA_CENTRES,
+    MAX_CHANGE_SECONDS,
     Trial,
     describe,
 )
 from _daemons import Fleet
-from test_store_drills import give_own_way
+from test_store_drills import ask_all, give_own_way
 
 pytestmark = pytest.mark.alone
 
+KEY = 'studio-key'
 DAEMONS = 12
+CLIENTS = 20
 COPY_AGE_SECONDS = 6.0
+FRESH_COPY_AGE_SECONDS = 3.0
 BEFORE_SECONDS = 6.5
 AFTER_SECONDS = 5.5
 DRILLS = int(os.environ.get('CONFIRMED_DRILLS', '1'))
@@ -28,6 +33,8 @@
     reason='set CONFIRMED_CHANGES=all to play all scenarios',
 )
 
+for_both_numberings = pytest.mark.parametrize('is_lower', [False, True])
+
 
 @pytest.fixture
 async def trial(tmp_path):
@@ -71,13 +78,34 @@
     await check(trial)
 
 
+@by_hand
+@pytest.mark.parametrize('pause_seconds', [1.5, 0])
+async def test_routes_of_a_single_lower_version_are_served(
+    trial, pause_seconds
+):
+    """Guards against a lower version that waits for the next one."""
+    await trial.publish_for(BEFORE_SECONDS)
+    await trial.return_store(COPY_AGE_SECONDS)
+    trial.operator.go_back_with_copy()
+    await asyncio.sleep(pause_seconds)
+    trial.operator.add_route()
+    trial.oracle.watch()
+    await asyncio.sleep(AFTER_SECONDS)
+    await check(trial)
+
+
 @by_hand
 async def test_routes_that_are_written_again_late_are_served(trial):
-    """Guards against versions that come later than the grace period."""
+    """Guards against versions that come later than the grace period.
+
+    Until then the last complete version stays in force, with its routes.
+    """
     await trial.publish_for(BEFORE_SECONDS)
+    *_, lost_route = trial.operator.routes
     await trial.return_store(COPY_AGE_SECONDS)
     trial.register_lost()
     await asyncio.sleep(4)
+    assert await ask_all(trial.fleet, f'/{lost_route}/1', KEY) == {200}
     trial.write_again()
     await trial.publish_for(AFTER_SECONDS)
     await check(trial)
@@ -113,7 +141,7 @@
 
 
 @by_hand
-@pytest.mark.parametrize('is_lower', [False, True])
+@for_both_numberings
 async def test_daemons_that_start_after_a_return_serve_routes(trial, is_lower):
     """Guards against a daemon that keeps the copy as the present state."""
     await trial.publish_for(BEFORE_SECONDS)
@@ -123,33 +151,71 @@
     for vm in {vm.name: vm for vm in (reader, *trial.fleet.vms[:4])}.values():
         await trial.restart(vm)
     await asyncio.sleep(4)
-    if is_lower:
-        trial.operator.go_back_with_copy()
-    else:
-        trial.write_again()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(AFTER_SECONDS)
     await check(trial)
 
 
-async def test_daemon_that_starts_from_a_stale_page_serves_routes(trial):
+@pytest.mark.parametrize(
+    'starting',
+    [
+        pytest.param(slice(1), id='reader'),
+        pytest.param(slice(1, 2), id='child', marks=by_hand),
+        pytest.param(slice(None), id='data centre', marks=by_hand),
+    ],
+)
+async def test_daemons_that_start_from_a_stale_page_serve_routes(
+    trial, starting
+):
     """Guards against a first reading of before a return, in its new era.
 
     The store has given out the revision of that page again, so the watch from
     it succeeds, and tells nothing of what was written earlier in the era.
     """
-    await trial.publish_for(BEFORE_SECONDS)
+    await trial.publish_for(FRESH_COPY_AGE_SECONDS)
     trial.platform.freeze_stale_reads()
     stale_revision = trial.platform.revision
-    await trial.return_store(COPY_AGE_SECONDS)
+    await trial.return_store(FRESH_COPY_AGE_SECONDS)
     trial.operator.add_route()
     trial.oracle.watch()
     while trial.platform.revision <= stale_revision:
         trial.register_all()
-    await trial.restart(trial.find_reader(DATA_CENTRES[0]))
+    for vm in trial.rank_vms(DATA_CENTRES[0])[starting]:
+        await trial.restart(vm)
     await asyncio.sleep(AFTER_SECONDS)
     await check(trial)
 
 
+@by_hand
+async def test_daemon_that_starts_from_a_stale_page_uses_no_lost_endpoint(
+    trial,
+):
+    """Guards against requests to an endpoint that left with the copy.
+
+    It registered in the lost time only. The daemon that starts reads for its
+    data centre, so the others there take what it holds.
+    """
+    await trial.publish_for(BEFORE_SECONDS)
+    reader, gone, *_ = trial.rank_vms(DATA_CENTRES[0])
+    trial.platform.remove(f'servers/{gone.upstream.instance}')
+    await asyncio.sleep(COPY_AGE_SECONDS)
+    trial.fleet.register(gone)
+    trial.operator.add_route()
+    trial.platform.freeze_stale_reads()
+    stale_revision = trial.platform.revision
+    await trial.return_store(2)
+    while trial.platform.revision <= stale_revision:
+        trial.operator.add_route()
+    await trial.restart(reader)
+    await asyncio.sleep(CONTACT_SECONDS + MAX_CHANGE_SECONDS)
+    received = len(gone.upstream.received)
+    await asyncio.gather(
+        *(ask_all(trial.fleet, key=KEY) for _ in range(CLIENTS))
+    )
+    print(describe(trial))
+    assert len(gone.upstream.received) == received
+
+
 @by_hand
 async def test_route_that_is_withdrawn_and_added_again_is_served(trial):
     """Guards against a withdrawal in the grace period that stays in force."""
@@ -169,14 +235,14 @@
 
 
 @by_hand
-async def test_routes_are_served_where_the_reader_was_frozen(trial):
+@for_both_numberings
+async def test_routes_are_served_where_the_reader_was_frozen(trial, is_lower):
     """Guards against a daemon of an earlier era than those behind it."""
     reader = trial.find_reader(DATA_CENTRES[0])
     await trial.publish_for(BEFORE_SECONDS)
     trial.freeze(reader)
     await trial.return_store(COPY_AGE_SECONDS)
-    trial.write_again()
-    trial.register_lost()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(3)
     trial.thaw(reader)
     await trial.publish_for(AFTER_SECONDS)
@@ -184,15 +250,15 @@
 
 
 @by_hand
-async def test_routes_are_served_where_the_reader_was_cut_off(trial):
+@for_both_numberings
+async def test_routes_are_served_where_the_reader_was_cut_off(trial, is_lower):
     """Guards against a daemon that gets a newer era from those behind it."""
     reader = trial.find_reader(DATA_CENTRES[0])
     await give_own_way(trial.fleet, reader)
     await trial.publish_for(BEFORE_SECONDS)
     trial.cut_off(reader)
     await trial.return_store(COPY_AGE_SECONDS)
-    trial.write_again()
-    trial.register_lost()
+    trial.go_on(is_lower=is_lower)
     await trial.publish_for(3)
     trial.connect(reader)
     await trial.publish_for(AFTER_SECONDS)
