Drop the oldest version that deltas are made to, not the lowest

What callers would see: after a drill whose operator goes on with lower versions, late routes where configurations are large or links slow, as each version goes whole to each daemon until the numbers pass the old ones.

Cause: of the kept versions the one with the lowest number was dropped, which was the latest. Same class as the lower versions themselves: the number was taken for the order of time.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_codec.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_codec.py
@@ -86,7 +86,7 @@
         if self._latest is not None:
             self._previous[self._latest.order] = self._latest
         if len(self._previous) > KEPT_VERSIONS:
-            self._previous.pop(min(self._previous))
+            self._previous.pop(next(iter(self._previous)))
         self._latest = configuration
         self._encoded = {}
 
--- a/packages/wagtailline-sidecar/tests/test_configuration_codec.py
+++ b/packages/wagtailline-sidecar/tests/test_configuration_codec.py
@@ -138,3 +138,19 @@
     codec.encode(base, NO_VERSION)
     decoded = decode_configuration(codec.encode(latest, base.order), base)
     assert index_routes(decoded) == index_routes(latest)
+
+
+def test_versions_that_go_back_are_sent_as_deltas():
+    """Guards against whole configurations after numbers went back.
+
+    The lowest version was dropped first, which was the latest one.
+    """
+    codec = ConfigurationCodec()
+    for number in range(80, 80 + 2 * KEPT_VERSIONS):
+        codec.encode(make_large(number), NO_VERSION)
+    known = make_large(60)
+    codec.encode(known, NO_VERSION)
+    for number in range(61, 64):
+        latest = make_large(number, changed=number)._replace(era=ERA + 1)
+        assert codec.encode(latest, known.order).base == known.order
+        known = latest
