Order versions by the revision at which they were published

Cause: each replica judged by its own first answer of an era, and passed on a bare yes or no; versions of an earlier era could be higher. Endpoints were passed on as the sender's version selects them.

Change: readings and replies carry the revision at which the configuration was published, and the first revision known of the era; the lowest that anyone has heard of counts (EraWrites). A version that was published in the era goes before all that weren't. Endpoints are passed on as listed, and each daemon selects those that its version names.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/reading.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/reading.py
@@ -12,8 +12,9 @@
     ``configuration`` is None when the source holds no valid configuration. The
     endpoints may be those of a later revision, ``endpoints_revision``. A peer's
     reading with ``is_after_outage`` may list endpoints whose entries expired.
-    ``is_written_in_era`` tells that the configuration is known to have been
-    published since the era began, so that it comes from no older copy.
+    The configuration was published at ``configuration_revision``. ``era_start``
+    is the first revision that is known of the era; what was published at a
+    later one comes from no older copy.
     """
 
     revision: SourceRevision
@@ -22,7 +23,8 @@
     closed_data_centres: frozenset[str]
     endpoints_revision: SourceRevision = NO_REVISION
     is_after_outage: bool = False
-    is_written_in_era: bool = False
+    configuration_revision: SourceRevision = NO_REVISION
+    era_start: SourceRevision = NO_REVISION
 
 
 class EarlyEndpoints(NamedTuple):
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/replicated_source.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/replicated_source.py
@@ -19,7 +19,7 @@
     SourceReadEnded,
     SourceReplica,
 )
-from wagtailline_sidecar.source_revision import SourceRevision
+from wagtailline_sidecar.source_revision import NO_REVISION, SourceRevision
 from wagtailline_sidecar.supervision import describe_failure
 
 # Longest reading, apart from the time that it waits for a change.
@@ -133,7 +133,7 @@
         )
         self._decode_seconds = float(0)
         self._configuration: Configuration | None = None
-        self._is_written_in_era = False
+        self._configuration_revision = NO_REVISION
         self._endpoints: dict[str, Endpoint] = {}
         self._closed: set[str] = set()
         self.on_early_endpoints: Callable[[EarlyEndpoints], None] = (
@@ -183,7 +183,8 @@
                 self._list_endpoints(),
                 frozenset(self._closed),
                 self._replica.prompt_revision,
-                is_written_in_era=self._is_written_in_era,
+                configuration_revision=self._configuration_revision,
+                era_start=self._replica.era_start,
             )
         )
 
@@ -260,9 +261,7 @@
         match change:
             case ConfigurationChanged(configuration):
                 self._configuration = configuration
-                self._is_written_in_era = self._replica.is_written_in_era(
-                    item.revision
-                )
+                self._configuration_revision = item.revision
             case DataCentreChanged(data_centre, is_closed):
                 self._closed.discard(data_centre)
                 if is_closed:
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -9,16 +9,13 @@
     keep_latest,
     select_named,
 )
+from wagtailline_sidecar.era_writes import EraWrites
 from wagtailline_sidecar.model import Configuration, Endpoint, Snapshot
 from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.refresh_events import EraChanged
 from wagtailline_sidecar.restore_grace import RestoreGrace
 from wagtailline_sidecar.routing import RouteTable
-from wagtailline_sidecar.source_outages import (
-    REGISTRATION_GRACE_SECONDS,
-    SourceOutages,
-    TimeSource,
-)
+from wagtailline_sidecar.source_outages import SourceOutages, TimeSource
 from wagtailline_sidecar.source_revision import NO_REVISION, SourceRevision
 from wagtailline_sidecar.supervision import describe_failure
 
@@ -61,9 +58,9 @@
         self._listeners: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[], None]] = []
         self._selector = ConfigurationSelector(observe)
-        self._is_written_in_era = False
-        # Until then, lost versions may be written again one after the other.
-        self._rewritten_until = float('-inf')
+        self._era_writes = EraWrites(clock)
+        self._configuration_revision = NO_REVISION
+        self._listed: tuple[Endpoint, ...] = ()
 
     @property
     def current(self) -> Snapshot | None:
@@ -110,13 +107,33 @@
         return self._outages.retention_seconds
 
     @property
-    def is_written_in_era(self) -> bool:
-        """Return whether the version in force is the latest of the era.
+    def grace_seconds(self) -> float:
+        """Return the time to the next end of a grace period, or 0."""
+        ends = (
+            self._outages.retention_seconds,
+            self._era_writes.settle_seconds,
+        )
+        return min((seconds for seconds in ends if seconds), default=0)
+
+    @property
+    def listed_endpoints(self) -> tuple[Endpoint, ...]:
+        """Return all endpoints, also of services that are not named."""
+        return self._listed
+
+    @property
+    def era_start(self) -> SourceRevision:
+        """Return the first revision that is known of the era."""
+        return self._era_writes.start
+
+    @property
+    def configuration_revision(self) -> SourceRevision:
+        """Return the revision at which the version in force was published.
 
-        It is not the source's copy of an earlier one, nor one that may have
-        been written again before a later one.
+        NO_REVISION while lost versions may still be published again.
         """
-        return self._is_written_in_era and not self._may_be_rewritten
+        if self._era_writes.settle_seconds:
+            return NO_REVISION
+        return self._configuration_revision
 
     def record_failure(self) -> None:
         """Record that a reading of the source has just failed."""
@@ -167,11 +184,10 @@
             return
         is_own_reading = refreshed_at is None
         if previous is None:
-            self._rewritten_until = (
-                self._clock.boot() + REGISTRATION_GRACE_SECONDS
-            )
+            self._era_writes.begin(reading.era_start)
         elif reading.revision.era > self.era:
             self._enter_era(previous, reading)
+        self._era_writes.learn(reading.era_start)
         if refreshed_at is None:
             self._outages.record_reading(requested_at)
             refreshed_at = self._clock.boot()
@@ -184,11 +200,11 @@
                 revision=previous.revision,
                 configuration=previous.configuration,
                 closed_data_centres=previous.closed_data_centres,
+                configuration_revision=NO_REVISION,
             )
-        may_go_back = reading.is_written_in_era and not (
-            is_own_reading and self._may_be_rewritten
+        configuration = self._select_configuration(
+            reading, is_own_reading=is_own_reading
         )
-        configuration = self._select_configuration(reading, may_go_back)
         if configuration is None:
             return
         if not is_older:
@@ -196,13 +212,11 @@
         endpoints = self._select_endpoints(
             reading.endpoints, endpoints_revision, may_add=is_own_reading
         )
-        # Those of other services can't be used until a version names them.
-        endpoints = select_named(endpoints, configuration.services)
         self._install(
             Snapshot(
                 reading.revision,
                 configuration,
-                endpoints,
+                select_named(endpoints, configuration.services),
                 self._restore_grace.find_closed(reading.closed_data_centres),
             ),
             refreshed_at,
@@ -223,19 +237,14 @@
         endpoints = self._select_endpoints(
             early.endpoints, early.revision, may_add=True
         )
-        endpoints = select_named(endpoints, previous.configuration.services)
-        self._install(
-            previous._replace(endpoints=endpoints), self._clock.boot()
-        )
+        named = select_named(endpoints, previous.configuration.services)
+        self._install(previous._replace(endpoints=named), self._clock.boot())
 
     def _enter_era(self, known: Snapshot, reading: Reading) -> None:
         """Begin an era; what was confirmed before proves nothing in it."""
         self._restore_grace.begin(known)
         self._outages.record_restore()
-        self._rewritten_until = (
-            self._clock.boot() + self._outages.retention_seconds
-        )
-        self._is_written_in_era = False
+        self._era_writes.begin(reading.era_start)
         self._confirmed_at = float('-inf')
         offered = reading.configuration
         self._observe(
@@ -249,29 +258,37 @@
             )
         )
 
-    @property
-    def _may_be_rewritten(self) -> bool:
-        return self._clock.boot() <= self._rewritten_until
-
     def _select_configuration(
-        self, reading: Reading, may_go_back: bool
+        self, reading: Reading, *, is_own_reading: bool
     ) -> Configuration | None:
         """Return the configuration to use, if there is one.
 
-        With ``may_go_back``, the operator goes on with a lower version after a
-        restore.
+        After a restore, one that was published in the new era goes before all
+        others. It may be lower than the one in force, once lost versions would
+        have been published again; peers offer it no sooner.
         """
         known = self._snapshot
         in_force = None if known is None else known.configuration
+        offered, revision = (
+            reading.configuration,
+            reading.configuration_revision,
+        )
+        is_written = self._era_writes.include(revision)
+        is_known_written = self._era_writes.include(
+            self._configuration_revision
+        )
+        is_early = is_own_reading and self._era_writes.settle_seconds > 0
         selected = self._selector.select(
-            in_force, reading.configuration, may_go_back=may_go_back
+            in_force,
+            offered,
+            may_go_back=is_written and not is_early,
+            is_outdated=is_known_written and not is_written,
         )
-        if selected is not in_force:
-            self._is_written_in_era = reading.is_written_in_era or (
-                in_force is not None
-                and selected is not None
-                and in_force.era == selected.era
-            )
+        is_confirmed = in_force is not None and (
+            offered is None or offered.order == in_force.order
+        )
+        if selected is not in_force or (is_confirmed and is_written):
+            self._configuration_revision = revision
         return selected
 
     def _select_endpoints(
@@ -286,14 +303,18 @@
         With ``may_add``, expired ones are added after an outage.
         """
         if self._snapshot is not None and revision < self._endpoints_revision:
-            return self._snapshot.endpoints
+            return self._listed
         self._endpoints_revision = revision
-        if self._snapshot is not None and offered is self._snapshot.endpoints:
+        if offered is self._listed:
             return offered
         offered = self._restore_grace.select_endpoints(offered)
         if may_add and self._snapshot is not None and self._outages.is_recent:
-            offered = add_expired(offered, self._snapshot.endpoints)
-        return keep_latest(offered)
+            offered = add_expired(offered, self._listed)
+        latest = keep_latest(offered)
+        if latest != self._listed:
+            self._restore_grace.record_change(self._listed, latest)
+            self._listed = latest
+        return self._listed
 
     def _install(self, snapshot: Snapshot, refreshed_at: float) -> None:
         self._refreshed_at = max(self._refreshed_at, refreshed_at)
@@ -312,10 +333,6 @@
             self._route_table.configuration is not configuration
         ):
             self._route_table = RouteTable(configuration)
-        if previous is not None and previous.endpoints != snapshot.endpoints:
-            self._restore_grace.record_change(
-                previous.endpoints, snapshot.endpoints
-            )
         self._snapshot = snapshot
         if previous is None or _is_reported_change(previous, snapshot):
             self._observe(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_exchange.py
@@ -27,7 +27,7 @@
     EncodedConfiguration,
     decode_configuration,
 )
-from wagtailline_sidecar.model import Endpoint, Snapshot
+from wagtailline_sidecar.model import Endpoint
 from wagtailline_sidecar.reading import (
     Reading,
 )
@@ -159,7 +159,7 @@
         return (
             snapshot is not None
             and request.known == snapshot.configuration.order
-            and request.endpoints_digest == self._digest_of(snapshot)
+            and request.endpoints_digest == self._digest_listed()
         )
 
     def _wake_waiting(self) -> None:
@@ -176,7 +176,7 @@
         known, digest = NO_VERSION, _NO_DIGEST
         if snapshot is not None:
             known = snapshot.configuration.order
-            digest = self._digest_of(snapshot)
+            digest = self._digest_listed()
         max_wait_ms = int(max_wait_seconds * _MILLISECONDS_PER_SECOND)
         await channel.send(SnapshotRequest(number, known, digest, max_wait_ms))
         while True:
@@ -210,10 +210,10 @@
         encoded = _NO_CONFIGURATION
         if request.known != snapshot.configuration.order:
             encoded = self._codec.encode(snapshot.configuration, request.known)
-        digest = self._digest_of(snapshot)
+        digest = self._digest_listed()
         endpoints = b''
         if request.endpoints_digest != digest:
-            endpoints = msgspec.msgpack.encode(snapshot.endpoints)
+            endpoints = msgspec.msgpack.encode(self._snapshots.listed_endpoints)
         return SnapshotReply(
             request.number,
             self._age_ms(self._snapshots.confirmed_at),
@@ -226,7 +226,8 @@
             self._age_ms(self._snapshots.refreshed_at),
             endpoints_revision=self._snapshots.endpoints_revision,
             is_after_outage=self._snapshots.is_after_outage,
-            is_written_in_era=self._snapshots.is_written_in_era,
+            configuration_revision=self._snapshots.configuration_revision,
+            era_start=self._snapshots.era_start,
         )
 
     def _age_ms(self, moment: float) -> int:
@@ -234,11 +235,12 @@
         age_seconds = max(self._boot() - moment, 0)
         return math.ceil(age_seconds * _MILLISECONDS_PER_SECOND)
 
-    def _digest_of(self, snapshot: Snapshot) -> bytes:
+    def _digest_listed(self) -> bytes:
+        listed = self._snapshots.listed_endpoints
         endpoints, digest = self._cached_digest
-        if endpoints is not snapshot.endpoints or not digest:
-            digest = digest_endpoints(snapshot.endpoints)
-            self._cached_digest = (snapshot.endpoints, digest)
+        if endpoints is not listed or not digest:
+            digest = digest_endpoints(listed)
+            self._cached_digest = (listed, digest)
         return digest
 
     def _decode_reply(self, reply: SnapshotReply) -> Reading:
@@ -249,7 +251,7 @@
                 EncodedConfiguration(reply.base, reply.configuration),
                 snapshot.configuration if snapshot else None,
             )
-        endpoints = snapshot.endpoints if snapshot else ()
+        endpoints = self._snapshots.listed_endpoints
         if reply.endpoints:
             endpoints = _ENDPOINTS.decode(reply.endpoints)
         return Reading(
@@ -259,7 +261,8 @@
             frozenset(reply.closed_data_centres),
             reply.endpoints_revision,
             reply.is_after_outage,
-            reply.is_written_in_era,
+            reply.configuration_revision,
+            reply.era_start,
         )
 
 
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_messages.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot_messages.py
@@ -35,8 +35,9 @@
     is NO_VERSION. A negative ``age_ms`` means that there is no snapshot.
     The endpoints may be those of a later revision, ``endpoints_revision``.
     After an outage of the source (``is_after_outage``) they may include some
-    whose entries have expired. ``is_written_in_era`` tells that the
-    configuration was published since the era of the source began.
+    whose entries have expired. The configuration was published at
+    ``configuration_revision``, or NO_REVISION if lost ones may still be
+    published again. ``era_start`` is the first revision known of the era.
     """
 
     number: Count
@@ -51,7 +52,8 @@
     waited_ms: Count = 0
     endpoints_revision: SourceRevision = NO_REVISION
     is_after_outage: bool = False
-    is_written_in_era: bool = False
+    configuration_revision: SourceRevision = NO_REVISION
+    era_start: SourceRevision = NO_REVISION
 
 
 SNAPSHOT_KINDS: dict[int, type[Message]] = {
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_reader.py
@@ -39,9 +39,9 @@
 HELPED_PERIOD_SECONDS = 0.45
 # Number of other daemons that are asked after a failed reading.
 HELPERS = 2
-# The first reading without the expired endpoints begins this much after their
-# retention has ended.
-_RETENTION_MARGIN_SECONDS = 0.01
+# The first reading without expired endpoints, or with a lower version, begins
+# this much after the grace period has ended.
+_GRACE_MARGIN_SECONDS = 0.01
 # Exponential backoff with jitter, so that daemons whose readings failed at the
 # same time do not all retry at the same time. After an outage, endpoints are
 # retained from the last failure on: the delay, which jitter up to doubles, has
@@ -140,14 +140,14 @@
         can_wait = was_reader and not self._failures
         self._reports.record_reader(self._location.host, reason)
         wait_seconds = READ_WAIT_SECONDS if can_wait else 0
-        return await self._read(self._limit_to_retention(wait_seconds))
+        return await self._read(self._limit_to_grace(wait_seconds))
 
-    def _limit_to_retention(self, seconds: float) -> float:
-        """Return a shorter time if expired endpoints have to go before."""
-        retention_seconds = self._snapshots.retention_seconds
-        if retention_seconds <= 0:
+    def _limit_to_grace(self, seconds: float) -> float:
+        """Return a shorter time if a grace period ends before."""
+        grace_seconds = self._snapshots.grace_seconds
+        if grace_seconds <= 0:
             return seconds
-        return min(seconds, retention_seconds + _RETENTION_MARGIN_SECONDS)
+        return min(seconds, grace_seconds + _GRACE_MARGIN_SECONDS)
 
     async def _read(self, wait_seconds: float) -> float:
         requested_at = self._clock.boot()
@@ -162,7 +162,7 @@
                 self._reports.report_refresh(
                     ORIGIN_SOURCE, OUTCOME_OK, requested_at
                 )
-                return self._limit_to_retention(self._periods().read)
+                return self._limit_to_grace(self._periods().read)
             case Err(failure):
                 self._reports.report_refresh(
                     ORIGIN_SOURCE, failure.reason, requested_at
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_replica.py
@@ -116,6 +116,8 @@
     from a copy since, all items are read again. What was read in an earlier
     era is older than all items of a later one.
 
+    ``era_start`` is the revision of the first answer of the present era.
+
     Items whose keys begin with ``prompt_prefix`` are small. Their changes can
     overtake the others with ``overtake``; ``prompt_revision`` is that of the
     last one that was applied.
@@ -148,11 +150,10 @@
         # Kept until all items have been read.
         self._pending_load = LoadReason.NONE
         self.load_reason = LoadReason.NONE
-        # That of the first answer of the present era.
-        self._era_seen_at = NO_REVISION
         self.avoids_history = False
         self.revision = NO_REVISION
         self.prompt_revision = NO_REVISION
+        self.era_start = NO_REVISION
 
     async def refresh(self, wait_seconds: float) -> None:
         """Bring the copy to the state of the source at the time of the call.
@@ -183,13 +184,6 @@
             if revision > self.revision
         }
 
-    def is_written_in_era(self, revision: SourceRevision) -> bool:
-        """Return whether a change was made since the present era began.
-
-        An earlier one may come from the copy that began the era.
-        """
-        return revision > self._era_seen_at
-
     async def overtake(self, client: SourceClient, wait_seconds: float) -> None:
         """Apply changes of small items while a refresh goes on.
 
@@ -276,8 +270,8 @@
         self.prompt_revision = max(self.prompt_revision, revision)
 
     def _record_era(self, revision: SourceRevision) -> None:
-        if revision.era > self._era_seen_at.era:
-            self._era_seen_at = revision
+        if revision.era > self.era_start.era:
+            self.era_start = revision
 
     def _begins_era(self, revision: SourceRevision) -> bool:
         """Return whether an answer is of a later era than the copy.
--- a/packages/wagtailline-sidecar/tests/_refresh_fleet.py
+++ b/packages/wagtailline-sidecar/tests/_refresh_fleet.py
@@ -117,7 +117,8 @@
             snapshot.closed_data_centres,
             store.endpoints_revision,
             store.is_after_outage,
-            store.is_written_in_era,
+            store.configuration_revision,
+            store.era_start,
         )
         return Ok(PeerReading(reading, store.confirmed_at, store.refreshed_at))
 
--- a/packages/wagtailline-sidecar/tests/test_source_eras.py
+++ b/packages/wagtailline-sidecar/tests/test_source_eras.py
@@ -13,7 +13,9 @@
 from _refresh_fleet import Fleet, make_settled_fleet
 
 from wagtailline.placement import rank_nodes
+from wagtailline.ports import Address
 from wagtailline_sidecar._configuration_selector import ConfigurationRefused
+from wagtailline_sidecar.era_writes import REWRITE_SECONDS
 from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.refresh_events import (
     OUTCOME_EARLIER_ERA,
@@ -22,7 +24,6 @@
     SourceLost,
 )
 from wagtailline_sidecar.snapshot import SnapshotStore
-from wagtailline_sidecar.source_outages import REGISTRATION_GRACE_SECONDS
 from wagtailline_sidecar.source_revision import SourceRevision
 
 OLD, NEW = 1, 2
@@ -114,15 +115,32 @@
     assert daemon.version == 11
 
 
+def write(number, version, start=2) -> Reading:
+    """Return a reading whose version was published at its own revision.
+
+    The new era is known from the revision ``start`` on.
+    """
+    reading = make_reading(NEW, number, version=version)
+    return reading._replace(
+        configuration_revision=reading.revision,
+        era_start=SourceRevision(NEW, start),
+    )
+
+
 def make_daemon_after_a_drill() -> Daemon:
     """Return a daemon at version 9 whose source went back to version 5."""
     daemon = Daemon()
     daemon.read(OLD, 60, version=9)
-    daemon.read(NEW, 2, version=5)
+    daemon.apply(write(2, version=5))
     return daemon
 
 
-WRITTEN = make_reading(NEW, 3, version=7)._replace(is_written_in_era=True)
+def make_follower_of_lower_versions() -> Daemon:
+    """Return a daemon that has followed an operator from 9 to 7."""
+    daemon = make_daemon_after_a_drill()
+    daemon.clock.now += REWRITE_SECONDS
+    daemon.apply(write(3, version=7))
+    return daemon
 
 
 def test_operator_that_goes_on_with_lower_versions_is_followed():
@@ -132,51 +150,121 @@
     grace period may be lost ones, written again, and take nothing back.
     """
     daemon = make_daemon_after_a_drill()
-    daemon.apply(WRITTEN)
+    daemon.apply(write(3, version=7))
     assert daemon.version == 9
-    assert not daemon.snapshots.is_written_in_era
-    daemon.clock.now += REGISTRATION_GRACE_SECONDS
-    daemon.apply(WRITTEN._replace(revision=SourceRevision(NEW, 4)))
+    daemon.clock.now += REWRITE_SECONDS
+    daemon.apply(write(3, version=7))
     assert daemon.version == 7
-    assert daemon.snapshots.is_written_in_era
-    daemon.read(NEW, 5, version=8)
+    daemon.apply(write(5, version=8))
     assert daemon.version == 8
-    assert daemon.snapshots.is_written_in_era
+    assert daemon.snapshots.configuration_revision == (NEW, 5)
 
 
 def test_lower_version_of_a_peer_is_followed_at_once():
     """Guards against a daemon that is late by a grace period of its own."""
     daemon = make_daemon_after_a_drill()
-    daemon.hear(WRITTEN)
+    daemon.hear(write(3, version=7))
     assert daemon.version == 7
 
 
 def test_daemon_that_has_just_started_passes_on_no_lower_version():
     """Guards against a lost version, written again, that spreads."""
     daemon = Daemon()
-    daemon.read(NEW, 2, version=5)
-    daemon.apply(WRITTEN)
+    daemon.apply(write(2, version=5))
+    daemon.apply(write(3, version=7))
     assert daemon.version == 7
-    assert not daemon.snapshots.is_written_in_era
-    daemon.clock.now += REGISTRATION_GRACE_SECONDS
-    assert daemon.snapshots.is_written_in_era
+    assert daemon.snapshots.configuration_revision == (0, 0)
+    daemon.clock.now += REWRITE_SECONDS
+    assert daemon.snapshots.configuration_revision == (NEW, 3)
+
+
+def test_version_of_an_earlier_era_does_not_return_with_a_peer():
+    """Guards against a peer that woke after a drill, and holds more.
+
+    It has not seen the era before the lower version was published, so it
+    takes that for a copied one.
+    """
+    daemon = make_follower_of_lower_versions()
+    late = make_reading(NEW, 9, version=9)
+    configuration = late.configuration._replace(era=OLD)
+    daemon.hear(late._replace(configuration=configuration))
+    assert daemon.version == 7
+
+
+def test_start_of_an_era_that_a_parent_knows_is_remembered():
+    """Guards against a lower version that is refused by the next reader.
+
+    Its own first answer of the era came after the version was published.
+    """
+    daemon = Daemon()
+    daemon.read(OLD, 60, version=9)
+    daemon.hear(write(2, version=5))
+    daemon.clock.now += REWRITE_SECONDS
+    published = write(3, version=7)._replace(era_start=SourceRevision(NEW, 6))
+    daemon.apply(published._replace(revision=SourceRevision(NEW, 7)))
+    assert daemon.version == 7
+
+
+def test_daemon_that_starts_after_a_lower_version_learns_its_era():
+    """Guards against a daemon that can't pass a lower version on."""
+    daemon = Daemon()
+    published = write(3, version=7)._replace(era_start=SourceRevision(NEW, 6))
+    daemon.apply(published._replace(revision=SourceRevision(NEW, 7)))
+    daemon.clock.now += REWRITE_SECONDS
+    assert daemon.snapshots.era_start == (NEW, 6)
+    known = published._replace(
+        configuration=None,
+        revision=SourceRevision(NEW, 8),
+        era_start=SourceRevision(NEW, 2),
+    )
+    daemon.hear(known)
+    assert daemon.snapshots.era_start == (NEW, 2)
+    assert daemon.snapshots.configuration_revision == (NEW, 3)
+
+
+def test_endpoints_of_a_parent_with_an_older_version_are_all_kept():
+    """Guards against services that a parent with a copied version hides."""
+    parent, child = Daemon(), make_daemon_after_a_drill()
+    endpoint = make_endpoint()
+    unnamed = endpoint._replace(
+        identity='i-2', service='new', address=Address('10.0.0.2', 80)
+    )
+    parent.read(NEW, 3, endpoint, unnamed, version=5)
+    assert parent.snapshots.current.endpoints == (endpoint,)
+    child.hear(
+        make_reading(NEW, 4, *parent.snapshots.listed_endpoints, version=5)
+    )
+    configuration = child.snapshots.current.configuration
+    services = {
+        **configuration.services,
+        'new': configuration.services['desk']._replace(name='new'),
+    }
+    reading = make_reading(NEW, 5, version=11)
+    child.hear(
+        reading._replace(
+            configuration=configuration._replace(
+                version=11, era=NEW, services=services
+            ),
+            endpoints=child.snapshots.listed_endpoints,
+        )
+    )
+    assert child.snapshots.current.endpoints == (endpoint, unnamed)
 
 
 def test_copied_version_does_not_come_back_after_the_grace_period():
     """Guards against a withdrawn key that a restore brings back later."""
     daemon = make_daemon_after_a_drill()
-    daemon.clock.now += REGISTRATION_GRACE_SECONDS + 0.1
-    daemon.read(NEW, 3, version=5)
+    daemon.clock.now += REWRITE_SECONDS
+    daemon.apply(write(2, version=5))
     assert daemon.version == 9
 
 
 def test_lower_version_of_the_same_era_is_never_in_force():
     """Guards against a late write that takes back a later version."""
     daemon = Daemon()
-    daemon.read(NEW, 60, version=9)
-    daemon.apply(
-        make_reading(NEW, 61, version=7)._replace(is_written_in_era=True)
-    )
+    daemon.apply(write(60, version=9))
+    daemon.clock.now += REWRITE_SECONDS
+    daemon.apply(write(61, version=7))
     assert daemon.version == 9
 
 
--- a/tests/wagtailline_platform/test_store.py
+++ b/tests/wagtailline_platform/test_store.py
@@ -51,6 +51,10 @@
     return SnapshotStore(clock, lambda event: None, outages)
 
 
+def is_written_in_era(reading) -> bool:
+    return reading.configuration_revision > reading.era_start
+
+
 async def read(store: ReplicatedSource):
     result = await store.read(MAX_CHANGE_SECONDS)
     assert isinstance(result, Ok), result
@@ -181,14 +185,14 @@
     """Guards against a lower version whose origin is not known."""
     platform.put('op/config', make_configuration(1))
     store = open_store(platform.address, lambda event: None)
-    assert not (await read(store)).is_written_in_era
+    assert not is_written_in_era(await read(store))
     await asyncio.sleep(0.05)
     platform.put('op/config', make_configuration(2))
-    assert (await read(store)).is_written_in_era
+    assert is_written_in_era(await read(store))
     platform.return_from_copy(0.03)
-    assert not (await read(store)).is_written_in_era
+    assert not is_written_in_era(await read(store))
     platform.put('op/config', make_configuration(2))
-    assert (await read(store)).is_written_in_era
+    assert is_written_in_era(await read(store))
 
 
 async def test_lost_history_leads_to_a_whole_reading(platform):
