Take the next version of a parent that has just started

What callers would see: a route that was published while a daemon reads for its data centre since less than 2 s is in force at the others only once that time is over, up to 2 s late.

Cause: a daemon that has just started withholds where its version comes from, and its children, who knew theirs to be of the era, took the next version for one of before. Only one of an earlier era is.

Result: test_next_version_of_a_parent_that_has_just_started_is_taken failed before, in an era and without eras, and passes.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_selector.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_configuration_selector.py
@@ -39,18 +39,19 @@
         offered: Configuration | None,
         *,
         may_go_back: bool = False,
-        is_outdated: bool = False,
+        keeps_era: bool = False,
     ) -> Configuration | None:
         """Return the configuration to use: the offered one if it is sound.
 
-        With ``may_go_back``, one of a later era may have a lower version. One
-        that ``is_outdated`` is not used, whatever its version.
+        With ``may_go_back``, one of a later era may have a lower version. With
+        ``keeps_era``, one of an earlier era is not used, whatever its version.
         """
         if offered is None or offered is in_force:
             return in_force
         if in_force is not None:
             goes_back = may_go_back and offered.era > in_force.era
             is_older = offered.order <= in_force.order and not goes_back
+            is_outdated = keeps_era and offered.era < in_force.era
             if is_older or is_outdated:
                 self._report_older(offered, in_force)
                 return in_force
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -282,7 +282,7 @@
             in_force,
             offered,
             may_go_back=is_written and not is_early,
-            is_outdated=is_known_written and not is_written,
+            keeps_era=is_known_written and not is_written,
         )
         is_confirmed = in_force is not None and (
             offered is None or offered.order == in_force.order
--- a/packages/wagtailline-sidecar/tests/test_source_eras.py
+++ b/packages/wagtailline-sidecar/tests/test_source_eras.py
@@ -191,6 +191,24 @@
     assert daemon.version == 7
 
 
+@pytest.mark.parametrize('era', [0, NEW])
+def test_next_version_of_a_parent_that_has_just_started_is_taken(era):
+    """Guards against a route that waits for the grace period of a parent.
+
+    For that time the parent doesn't tell where its version comes from.
+    """
+    daemon = Daemon()
+    first = make_reading(era, 5, version=7)
+    daemon.apply(
+        first._replace(
+            configuration_revision=first.revision,
+            era_start=SourceRevision(era, min(era, 2)),
+        )
+    )
+    daemon.hear(make_reading(era, 6, version=8))
+    assert daemon.version == 8
+
+
 def test_start_of_an_era_that_a_parent_knows_is_remembered():
     """Guards against a lower version that is refused by the next reader.
 
