Let no entry of an unnamed service take an endpoint's address

What callers would see: an odd entry of a service that no version names, with a later start, hides the endpoint at its address at every daemon.

Cause: since endpoints are passed on as listed, the latest of an address was chosen before those of unnamed services were left out.

Result: test_entry_of_a_service_that_is_not_named_takes_no_address failed before and passes.

--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/_endpoint_lists.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/_endpoint_lists.py
@@ -9,11 +9,10 @@
 def select_named(
     listed: tuple[Endpoint, ...], services: Container[str]
 ) -> tuple[Endpoint, ...]:
-    """Return the endpoints of services; the same object if those are all."""
-    named = tuple(
+    """Return the endpoints of services."""
+    return tuple(
         endpoint for endpoint in listed if endpoint.service in services
     )
-    return listed if len(named) == len(listed) else named
 
 
 def add_expired(
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/snapshot.py
@@ -4,13 +4,13 @@
 from typing import NamedTuple
 
 from wagtailline_sidecar._configuration_selector import ConfigurationSelector
-from wagtailline_sidecar._endpoint_lists import (
-    add_expired,
-    keep_latest,
-    select_named,
-)
 from wagtailline_sidecar.era_writes import EraWrites
-from wagtailline_sidecar.model import Configuration, Endpoint, Snapshot
+from wagtailline_sidecar.listed_endpoints import ListedEndpoints
+from wagtailline_sidecar.model import (
+    Configuration,
+    Endpoint,
+    Snapshot,
+)
 from wagtailline_sidecar.reading import EarlyEndpoints, Reading
 from wagtailline_sidecar.refresh_events import EraChanged
 from wagtailline_sidecar.restore_grace import RestoreGrace
@@ -30,10 +30,11 @@
 
 
 class SnapshotStore:
-    """Store of the snapshot in force; versions and revisions never decrease.
+    """Store of the snapshot in force; revisions never decrease.
 
     Revisions are ordered by the era of the source first. In a new era, the
-    whole state is taken anew, but for what a restored source may lack.
+    whole state is taken anew, but for what a restored source may lack. Versions
+    decrease only if the operator goes on with lower ones in a new era.
     """
 
     def __init__(
@@ -53,14 +54,13 @@
         self._route_table: RouteTable | None = None
         self._confirmed_at = float('-inf')
         self._refreshed_at = float('-inf')
-        self._endpoints_revision = NO_REVISION
         self._restore_grace = RestoreGrace(clock)
+        self._endpoints = ListedEndpoints(self._restore_grace, outages)
         self._listeners: list[Callable[[Snapshot], None]] = []
         self._on_confirmed: list[Callable[[], None]] = []
         self._selector = ConfigurationSelector(observe)
         self._era_writes = EraWrites(clock)
         self._configuration_revision = NO_REVISION
-        self._listed: tuple[Endpoint, ...] = ()
 
     @property
     def current(self) -> Snapshot | None:
@@ -80,7 +80,7 @@
     @property
     def endpoints_revision(self) -> SourceRevision:
         """Return the revision of the endpoints, maybe that of a later one."""
-        return self._endpoints_revision
+        return self._endpoints.revision
 
     @property
     def age_seconds(self) -> float:
@@ -118,7 +118,7 @@
     @property
     def listed_endpoints(self) -> tuple[Endpoint, ...]:
         """Return all endpoints, also of services that are not named."""
-        return self._listed
+        return self._endpoints.listed
 
     @property
     def era_start(self) -> SourceRevision:
@@ -179,7 +179,7 @@
         previous = self._snapshot
         is_older = previous is not None and reading.revision < previous.revision
         endpoints_revision = max(reading.endpoints_revision, reading.revision)
-        has_older_endpoints = endpoints_revision < self._endpoints_revision
+        has_older_endpoints = endpoints_revision < self._endpoints.revision
         if is_older and has_older_endpoints:
             return
         is_own_reading = refreshed_at is None
@@ -209,14 +209,14 @@
             return
         if not is_older:
             self._confirmed_at = max(self._confirmed_at, requested_at)
-        endpoints = self._select_endpoints(
+        self._endpoints.replace(
             reading.endpoints, endpoints_revision, may_add=is_own_reading
         )
         self._install(
             Snapshot(
                 reading.revision,
                 configuration,
-                select_named(endpoints, configuration.services),
+                self._endpoints.find_usable(configuration),
                 self._restore_grace.find_closed(reading.closed_data_centres),
             ),
             refreshed_at,
@@ -228,17 +228,15 @@
         The rest of the snapshot stays as old as it is.
         """
         previous = self._snapshot
-        if previous is None or early.revision < self._endpoints_revision:
+        if previous is None or early.revision < self._endpoints.revision:
             return
         if early.revision.era != previous.revision.era:
             # The rest of a new era is still on its way.
             return
         self._outages.record_reading(early.requested_at)
-        endpoints = self._select_endpoints(
-            early.endpoints, early.revision, may_add=True
-        )
-        named = select_named(endpoints, previous.configuration.services)
-        self._install(previous._replace(endpoints=named), self._clock.boot())
+        self._endpoints.replace(early.endpoints, early.revision, may_add=True)
+        usable = self._endpoints.find_usable(previous.configuration)
+        self._install(previous._replace(endpoints=usable), self._clock.boot())
 
     def _enter_era(self, known: Snapshot, reading: Reading) -> None:
         """Begin an era; what was confirmed before proves nothing in it."""
@@ -291,31 +289,6 @@
             self._configuration_revision = revision
         return selected
 
-    def _select_endpoints(
-        self,
-        offered: tuple[Endpoint, ...],
-        revision: SourceRevision,
-        *,
-        may_add: bool,
-    ) -> tuple[Endpoint, ...]:
-        """Return the endpoints to use: the offered ones if they are not older.
-
-        With ``may_add``, expired ones are added after an outage.
-        """
-        if self._snapshot is not None and revision < self._endpoints_revision:
-            return self._listed
-        self._endpoints_revision = revision
-        if offered is self._listed:
-            return offered
-        offered = self._restore_grace.select_endpoints(offered)
-        if may_add and self._snapshot is not None and self._outages.is_recent:
-            offered = add_expired(offered, self._listed)
-        latest = keep_latest(offered)
-        if latest != self._listed:
-            self._restore_grace.record_change(self._listed, latest)
-            self._listed = latest
-        return self._listed
-
     def _install(self, snapshot: Snapshot, refreshed_at: float) -> None:
         self._refreshed_at = max(self._refreshed_at, refreshed_at)
         self._replace_snapshot(snapshot)
--- a/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_revision.py
+++ b/packages/wagtailline-sidecar/src/wagtailline_sidecar/source_revision.py
@@ -30,6 +30,8 @@
     The order is that of the versions: after a restore, the source may hold an
     earlier version until the operator has published again. A version that is
     read again in a later era replaces the one before, whatever its content.
+    One that is known to have been published in a later era goes before all
+    others, whatever this order says.
     """
 
     number: Count = 0
--- a/packages/wagtailline-sidecar/tests/test_source_eras.py
+++ b/packages/wagtailline-sidecar/tests/test_source_eras.py
@@ -240,6 +240,17 @@
     assert daemon.snapshots.configuration_revision == (NEW, 3)
 
 
+def test_entry_of_a_service_that_is_not_named_takes_no_address():
+    """Guards against an odd entry that hides the endpoint at its address."""
+    daemon = Daemon()
+    endpoint = make_endpoint()
+    odd = endpoint._replace(
+        identity='i-2', service='odd', started_ms=endpoint.started_ms + 1
+    )
+    daemon.read(NEW, 3, endpoint, odd)
+    assert daemon.snapshots.current.endpoints == (endpoint,)
+
+
 def test_endpoints_of_a_parent_with_an_older_version_are_all_kept():
     """Guards against services that a parent with a copied version hides."""
     parent, child = Daemon(), make_daemon_after_a_drill()
